--- /dev/null
+++ b/lemonlead/__init__.py
@@ -0,0 +1,1 @@
+"""lemonlead: a lookup router and release judge."""
--- /dev/null
+++ b/lemonlead/balance.py
@@ -0,0 +1,492 @@
+"""Every decision of a balancer: where a lookup goes, what becomes of it, and how a build is voted on.
+
+The host makes one `Balancer` a gateway from what is told at start, and reports all that happens through the
+methods under "inputs", which only update what is known. Then it calls `decide(now, door)` until that returns
+False: each call makes one decision through the door. `wake_at()` tells when to ask again though nothing
+happened. The records and the door are in `lemonlead/interface.py`; why it decides so, in `docs/design.md`.
+"""
+
+import heapq
+import random
+from collections import deque
+from math import exp
+from statistics import median
+
+from .interface import (
+    BACK, COUNTED, ERRED, HARMLESS, HOLD, MOOT, NEVER_RAN, ON, ON_TRIAL, ONE_SHOT, READY, REJECTED, RELEASED,
+    RESET, STAMPED, SUCCEEDED, TIMED_OUT, UNCONNECTED, WITHDRAWN, Send,
+)
+
+MS = 1_000_000
+TICK = 100 * MS  # how often builds are judged and rates are aged
+PAIR = 500 * MS  # a pair of windows, one a build, lasts this long
+PAIRS = 4  # pairs in view, and pairs that a stage holds
+PAIR_OUTCOMES = 10  # fewer for either build: the pair is dropped
+WARM_UP = 1000 * MS  # pairs start once each machine on trial has run for this long
+TOLERANCE, ERROR_TOLERANCE = 0.25, 0.02  # a breach is worse by more than this, or by more than the noise
+RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
+
+
+class Member:
+    """All that is known of one instance: its line on the list, and what its sends have shown."""
+
+    def __init__(self, line, build, now):
+        self.id, self.zone, self.kind, self.cell = line.id, line.zone, line.kind, line.cell
+        self.build, self.started = build, line.started
+        self.ready = True
+        self.out = {}  # sends out, the oldest first
+        self.heard_at = now  # its last answer, or the first send after it stood idle
+        self.slowness = 0.0  # time to answer by work, smoothed; 0: not yet known
+        self.limit = 6.0  # sends of this balancer that it may hold
+        self.cut_at = 0  # when that limit was last cut
+        self.strikes = 0  # failures of the path since its last answer
+        self.shunned_until = 0
+        self.cold_free_at = now  # while it is cold: when it may be sent the next lookup
+
+
+class Build:
+    """One build: what was told of it, what it was sent, and how it compares."""
+
+    def __init__(self, number, cap):
+        self.number, self.cap = number, cap
+        self.stage, self.phase = 0, ON_TRIAL
+        self.sent = {}  # times of its sends within the window, by lane where the cap counts so
+        self.keys = set()  # keys that it has answered, kept where they bind
+        self.credit = 0.0  # sends that it is due by its machines' share
+        self.pairs = deque(maxlen=PAIRS)  # judged pairs: {(lane, metric): (earlier, trial)}
+        self.stage_pairs = 0  # pairs closed in this stage, judged or not
+        self.breached = 0  # of the pairs in view
+        self.bad = False  # voted back
+
+
+class Balancer:
+    def __init__(self, start):
+        release = start.release
+        self.rng = random.Random(start.seed)
+        self.zone, self.step = start.zone, start.step
+        self.balancers = max(start.balancers, 1)
+        self.release = release
+        self.may_duplicate, self.may_withdraw = start.may_duplicate, start.may_withdraw
+        self.sends_cap = start.sends_cap
+        self.resend_margin = start.connect_time + 2 * start.step
+        self.hold_off_cap = start.hold_off_cap
+        self.cold_time, self.cold_share = start.cold_time, start.cold_share
+        self.cold_window = max(start.cold_window, TICK)
+        self.top_revenue = max((lane.revenue for lane in start.lanes), default=1.0) or 1.0
+        self.lane_work = {lane.number: lane.goal_time / 6 for lane in start.lanes}
+        self.first_cap = release.caps[0] if release.caps else 0.0
+        self.vote_gap = int(self.balancers / max(release.votes_per_s, 0.1) * 1e9)
+        self.members = {}
+        self.builds = {}
+        self.told = None  # the build that the last news spoke of
+        self.trial = None  # the build on trial that has machines, if any
+        self.share = 0.0  # of the listed machines that run it
+        self.taken = {}  # arrival times within the window, by lane where the cap counts so
+        self.work_rate = 0.0  # work taken, by time
+        self.typical = 0.0  # time to answer by work over all instances, smoothed
+        self.rescues = 5.0
+        self.due = deque()  # lookups that want a decision
+        self.held = []  # lookups that wait for an instance to be free
+        self.wakes = []
+        self.wake_count = 0
+        self.next_tick = start.now
+        self.ask_at = start.now if start.ask_for_list else None
+        self.pair_at = None  # when the pair now open began
+        self.pair = {}  # (on trial, lane): [(time by work, erred)]
+        self.vote_at = start.now
+        self.vote_out = None
+        self.notes = deque()
+
+    # ---- inputs: they only update what is known
+
+    def listed(self, now, lines, whole, fresh):
+        """The list, whole or its changes. It may be stale, and an id may stand for a new machine."""
+        named = set()
+        for line in lines:
+            named.add(line.id)
+            old = self.members.get(line.id)
+            if line.state != READY:
+                if old is not None:
+                    old.ready = False
+                continue
+            if old is not None and (old.build.number, old.started) == (line.build, line.started):
+                old.ready = True
+                continue
+            if line.build not in self.builds:
+                self.builds[line.build] = Build(line.build, self.first_cap)
+            self.members[line.id] = Member(line, self.builds[line.build], now)
+        if whole:
+            for member in self.members.values():
+                member.ready = member.ready and member.id in named
+        self.members = {id: member for id, member in self.members.items() if member.ready}
+        if fresh:
+            self.ask_at = None
+        self.see_trial()
+
+    def list_failed(self, now):
+        # It may be the asking that failed or the watch that broke, and which is not told: ask again.
+        self.ask_at = now + int(self.rng.uniform(300, 900) * MS)
+
+    def lookup_arrived(self, now, lookup):
+        lookup.work = lookup.work or int(self.lane_work[lookup.lane.number])
+        self.taken.setdefault(self.count_of(lookup), deque()).append(now)
+        self.work_rate += lookup.work / self.cold_window
+        self.rescues = min(self.rescues + RESCUES, 20.0)
+        if self.trial is not None and not self.trial.bad:
+            self.trial.credit = min(self.trial.credit + self.share, 3.0)
+        self.due.append(lookup)
+
+    def lookup_left(self, now, lookup):
+        lookup.over = True
+
+    def stream_begun(self, now, send):
+        send.lookup.over = True  # its end is the client's; only the send's outcome is still to come
+
+    def send_ended(self, now, send, end, took, over, report):
+        send.end = end
+        member, lookup = send.instance, send.lookup
+        member.out.pop(send, None)
+        lookup.over = lookup.over or over
+        if not lookup.over:
+            self.due.append(lookup)
+        if self.held:
+            self.due.extend(self.held)
+            self.held.clear()
+        slow = took > lookup.lane.goal_time
+        if end in (SUCCEEDED, ERRED, REJECTED):
+            member.heard_at, member.strikes, member.shunned_until = now, 0, 0
+        elif end in (UNCONNECTED, RESET) or (end == TIMED_OUT and member.heard_at <= send.at):
+            # Guards against machines that are dead, silent or cut off, whatever the cause: back off from
+            # them, doubling, and try one lookup then. It could harm a machine that is only slow to connect.
+            member.strikes += 1
+            wait = min(250 * MS << min(member.strikes, 4), 3000 * MS)
+            member.shunned_until = now + int(wait * self.rng.uniform(0.7, 1.0))
+        if end == REJECTED or slow:
+            if now - member.cut_at > 200 * MS:
+                member.cut_at, member.limit = now, max(member.limit * 0.8, 2.0)
+        elif end == SUCCEEDED and 2 * len(member.out) >= member.limit:
+            member.limit += 1 / member.limit
+        if end == SUCCEEDED or (end in (TIMED_OUT, WITHDRAWN) and slow):
+            ratio = took / max(lookup.work, 1)
+            self.typical += 0.02 * (ratio - self.typical) if self.typical else ratio
+            member.slowness += 0.1 * (ratio - member.slowness) if member.slowness else ratio
+            number = lookup.lane.number
+            self.lane_work[number] += 0.01 * (took - self.lane_work[number])
+        if end == SUCCEEDED and self.release.forward_only and lookup.key:
+            member.build.keys.add(lookup.key)
+        self.note_outcome(member, lookup, end, took)
+
+    def probe_ended(self, now, instance_id, end, took, report):
+        pass  # none are sent
+
+    def tally_told(self, now, build, lane, sends, errors, mean, age):
+        pass
+
+    def answer_wrong(self, now, instance_id, age):
+        pass
+
+    def stage_told(self, now, number, stage, phase, cap):
+        if number not in self.builds:
+            self.builds[number] = Build(number, self.first_cap)
+        build = self.told = self.builds[number]
+        if (build.stage, build.phase) != (stage, phase):
+            self.notes.append(f"build {number}: stage {stage}, phase {phase}, cap {cap:.2f}")
+            build.stage_pairs = 0
+        build.stage, build.phase, build.cap = stage, phase, cap
+        self.see_trial()
+
+    def vote_answered(self, now, answer):
+        waits = {COUNTED: int(0.5 * self.release.vote_life), MOOT: 200 * MS}
+        self.vote_at = now + waits.get(answer, int(self.rng.uniform(200, 400) * MS))
+        if answer != COUNTED:
+            self.vote_out = None
+
+    # ---- decisions, pulled one by one
+
+    def wake_at(self):
+        return min(self.next_tick, self.wakes[0][0]) if self.wakes else self.next_tick
+
+    def decide(self, now, door):
+        if now >= self.next_tick:
+            self.tick(now)
+        while self.wakes and self.wakes[0][0] <= now:
+            self.due.append(heapq.heappop(self.wakes)[2])
+        if self.notes:
+            door.log(self.notes.popleft())
+            return True
+        if self.ask_at is not None and now >= self.ask_at:
+            self.ask_at = now + 5000 * MS  # should no answer come at all
+            door.watch_list()
+            return True
+        if self.cast_vote(now, door):
+            return True
+        while self.due:
+            lookup = self.due.popleft()
+            if not lookup.over and self.settle(lookup, now, door):
+                return True
+        return False
+
+    def settle(self, lookup, now, door):
+        """What becomes of one lookup now; True when something was decided."""
+        out = [send for send in lookup.sends if not send.end]
+        if now >= lookup.hard_stop:
+            return self.give_up(lookup, door)
+        if out:
+            return self.rescue(lookup, out, now, door)
+        member = self.choose(lookup, now)
+        if member is not None:
+            return self.send(lookup, member, now, door)
+        wait = lookup.lane.goal_time * lookup.lane.revenue / self.top_revenue / 2
+        until = min(lookup.arrived + int(wait), lookup.hard_stop)
+        if now >= until or self.spent(lookup):
+            return self.give_up(lookup, door)
+        self.held.append(lookup)
+        self.wake(min(until, now + TICK), lookup)
+        return False
+
+    def send(self, lookup, member, now, door):
+        send = Send(lookup, len(lookup.sends), member, now)
+        lookup.sends.append(send)
+        if not member.out:
+            member.heard_at = max(member.heard_at, now)
+        member.out[send] = None
+        if self.on_trial(member.build):
+            member.build.sent.setdefault(self.count_of(lookup), deque()).append(now)
+            member.build.credit = max(member.build.credit - 1.0, -3.0)
+        if (warmth := self.warmth(member, now)) < 1:
+            rate = self.work_rate / max(len(self.members), 1) * warmth
+            gap = lookup.work / rate if rate > 0 else 2 * self.cold_window
+            member.cold_free_at = max(member.cold_free_at, now) + min(int(gap), 2 * self.cold_window)
+        door.send(lookup, member.id, lookup.hard_stop - now)
+        self.wake(lookup.hard_stop, lookup)
+        if lookup.lane.effect != ONE_SHOT:
+            self.wake(now + lookup.lane.goal_time // 2, lookup)
+        return True
+
+    def rescue(self, lookup, out, now, door):
+        """What is out for half its goal time is sent elsewhere where its lane allows, within a budget.
+        Guards against machines that are silent, stalled or jammed; in a jam of all, the budget bounds it."""
+        last = out[-1]
+        if len(out) > 1 or now < last.at + lookup.lane.goal_time // 2 or self.rescues < 1:
+            return False
+        if self.may_duplicate:
+            member = self.choose(lookup, now)
+            if member is None:
+                return False
+            self.rescues -= 1
+            return self.send(lookup, member, now, door)
+        if self.may_withdraw and lookup.lane.effect == HARMLESS and not last.instance.heard_at > last.at:
+            self.rescues -= 1
+            door.withdraw(last)
+            return True
+        return False
+
+    def give_up(self, lookup, door):
+        lookup.over = True
+        lane = lookup.lane
+        ran = any(send.end not in NEVER_RAN for send in lookup.sends)
+        if ran and lane.effect != HARMLESS and (lane.effect == ONE_SHOT or lane.group != "all"):
+            door.abort(lookup)
+        else:
+            door.push_back(lookup, min(self.hold_off_cap, lane.goal_time))
+        return True
+
+    # ---- where to
+
+    def choose(self, lookup, now):
+        """The better of two random instances of the build that is due a send, else of the other."""
+        tried = [send.instance for send in lookup.sends]
+        trial, earlier = [], []
+        for member in self.members.values():
+            if self.usable(member, lookup, now) and self.may_send(lookup, member, now):
+                (trial if self.on_trial(member.build) else earlier).append(member)
+        pool = trial if self.trial is not None and self.trial.credit >= 1 and not self.trial.bad else earlier
+        pool = pool or earlier or trial
+        pool = [member for member in pool if member not in tried] or pool
+        if not pool:
+            return None
+        if len(pool) > 2:
+            pool = self.rng.sample(pool, 2)
+        return min(pool, key=lambda member: self.cost(member, now))
+
+    def cost(self, member, now):
+        slowness = member.slowness or self.typical or 1.0
+        across = 1.0 if member.zone == self.zone else 1.1
+        return slowness * (1 + len(member.out)) * across / self.warmth(member, now)
+
+    def usable(self, member, lookup, now):
+        """Health, as far as this balancer's own sends show it."""
+        if len(member.out) >= member.limit or now < member.shunned_until:
+            return False
+        if member.strikes and (member.out or lookup.lane.effect == ONE_SHOT):
+            return False
+        # Silent: sends are out and nothing at all has been heard for long.
+        quiet = now - member.heard_at if member.out else 0
+        return quiet <= max(4 * (self.typical or 2.0) * lookup.work, 300 * MS)
+
+    def may_send(self, lookup, member, now):
+        """The rules. Every send passes here, whatever asked for it."""
+        if not member.ready or now >= lookup.hard_stop or self.spent(lookup):
+            return False
+        lane = lookup.lane
+        ran = [send for send in lookup.sends if send.end not in NEVER_RAN]
+        if any(not send.end for send in ran) and not self.may_duplicate:
+            return False
+        if ran and lane.effect == ONE_SHOT:
+            return False
+        if ran and lane.effect == STAMPED:
+            if now - ran[0].at >= lane.memory - self.resend_margin:
+                return False
+            if lane.group != "all" and any(
+                getattr(send.instance, lane.group) != getattr(member, lane.group) for send in ran
+            ):
+                return False
+        if self.warmth(member, now) < 1 and now < member.cold_free_at:
+            return False
+        if self.told is not None and member.build.number < self.told.number and lookup.key in self.told.keys:
+            return self.told.phase not in (ON_TRIAL, RELEASED)  # keys are kept only where they bind
+        return not self.on_trial(member.build) or self.exposure_left(member.build, lookup, now)
+
+    def exposure_left(self, build, lookup, now):
+        """An exact count over the window, a little wider for sends than for lookups. A lower cap
+        binds at once and all sends in the window count against it, which is stricter than the rule."""
+        stage = build.stage if build is self.told else 0
+        if build.cap <= 0 or (stage < self.release.guarded_stages and lookup.lane.effect != HARMLESS):
+            return False
+        sent = build.sent.get(self.count_of(lookup), ())
+        taken = self.taken.get(self.count_of(lookup), ())
+        while sent and sent[0] < now - self.release.window - 2 * self.step:
+            sent.popleft()
+        while taken and taken[0] <= now - self.release.window + 2 * self.step:
+            taken.popleft()
+        return len(sent) + 1 <= self.release.free_sends + build.cap * len(taken)
+
+    def spent(self, lookup):
+        return len(lookup.sends) >= self.sends_cap
+
+    def warmth(self, member, now):
+        """The share of its capacity that an instance is sure to have; 1 when it is warm."""
+        age = now - member.started
+        if not member.started or age >= self.cold_time:
+            return 1.0
+        return self.cold_share + (1 - self.cold_share) * max(age, 0) / self.cold_time
+
+    def on_trial(self, build):
+        if self.told is None:
+            return build is self.trial
+        return build.number > self.told.number or (build is self.told and build.phase != RELEASED)
+
+    def count_of(self, lookup):
+        return lookup.lane.number if self.release.per_lane else 0
+
+    def wake(self, at, lookup):
+        self.wake_count += 1
+        heapq.heappush(self.wakes, (at, self.wake_count, lookup))
+
+    # ---- the gate: the build on trial against the earlier one, in pairs of short windows
+
+    def see_trial(self):
+        numbers = sorted({member.build.number for member in self.members.values()})
+        newest = self.builds[numbers[-1]] if numbers else None
+        if self.told is None:
+            trial = newest if len(numbers) > 1 else None
+        else:
+            trial = newest if newest is not None and self.on_trial(newest) else None
+        if trial is not self.trial:
+            self.trial, self.pair_at, self.pair = trial, None, {}
+        on_it = sum(member.build is trial for member in self.members.values())
+        self.share = on_it / len(self.members) if self.members else 0.0
+
+    def note_outcome(self, member, lookup, end, took):
+        """Answers and time-outs are the build's; what the path did (no connection, a reset) is not."""
+        if self.pair_at is not None and end in (SUCCEEDED, ERRED, TIMED_OUT):
+            side = self.pair.setdefault((member.build is self.trial, lookup.lane.number), [])
+            side.append((took / max(lookup.work, 1), end == ERRED))
+
+    def tick(self, now):
+        self.work_rate *= exp(-max(now - self.next_tick + TICK, 0) / self.cold_window)
+        self.next_tick = now + TICK
+        trial = self.trial
+        if trial is None or trial is not self.told:
+            return
+        if self.pair_at is None:
+            starts = [member.started for member in self.members.values() if member.build is trial]
+            if max(starts, default=0) + WARM_UP <= now:
+                self.pair_at, self.pair = now, {}
+        elif now - self.pair_at >= PAIR:
+            self.close_pair(trial)
+            self.pair_at, self.pair = now, {}
+
+    def close_pair(self, trial):
+        trial.stage_pairs += 1
+        counts = {True: 0, False: 0}
+        for (on, _), side in self.pair.items():
+            counts[on] += len(side)
+        if min(counts.values()) < PAIR_OUTCOMES:
+            return
+        figures = {}
+        for (on, lane), side in self.pair.items():
+            earlier = self.pair.get((False, lane))
+            if on and earlier:
+                for metric, ours, theirs in zip(METRICS, metrics(side), metrics(earlier), strict=True):
+                    figures[lane, metric] = (theirs, ours)
+        stalled = [f[side] > 10 * figures[lane, "p50"][side] for (lane, m), f in figures.items() if m == "p99"
+                   for side in (0, 1)]
+        if figures and not all(stalled):
+            trial.pairs.append(figures)
+            self.judge(trial)
+
+    def judge(self, trial):
+        """Counts the pairs in view that breach, by the worst metric whose medians breach too."""
+        worst, why = 0, ""
+        for lane, metric in sorted({key for pair in trial.pairs for key in pair}):
+            seen = [pair[lane, metric] for pair in trial.pairs if (lane, metric) in pair]
+            sides = list(zip(*seen, strict=True))
+            middles = [median(side) for side in sides]
+            floor = max(abs(x - mid) for side, mid in zip(sides, middles, strict=True) for x in side)
+            tolerance = ERROR_TOLERANCE if metric == "errors" else TOLERANCE * middles[0]
+            bound = max(tolerance, floor)
+            if middles[1] - middles[0] > bound:
+                breached = sum(ours - theirs > bound for theirs, ours in seen)
+                if breached > worst:
+                    worst, why = breached, f"lane {lane} {metric} {middles[0]:.2f} to {middles[1]:.2f}"
+        trial.breached = worst
+        if 2 * worst > PAIRS and not trial.bad:
+            trial.bad = True
+            self.notes.append(f"build {trial.number} bad: {worst} of {len(trial.pairs)} pairs breach, {why}")
+
+    def verdict(self, build):
+        if build.bad:
+            return BACK
+        if build.phase != ON_TRIAL or build is not self.trial:
+            return None
+        if self.release.control == "automatic":
+            return HOLD if build.breached else None
+        if build.stage_pairs >= PAIRS and 2 * build.breached <= len(build.pairs):
+            return ON
+        return None
+
+    def cast_vote(self, now, door):
+        build = self.told
+        if build is None or now < self.vote_at or build.phase not in (ON_TRIAL, RELEASED):
+            return False
+        verdict = self.verdict(build)
+        if verdict is None:
+            return False
+        if verdict != self.vote_out:
+            self.notes.append(f"build {build.number}: vote {verdict} at stage {build.stage}")
+        self.vote_out = verdict
+        self.vote_at = now + self.release.answer_time + max(self.vote_gap, self.step)
+        door.vote(build.number, build.stage, verdict)
+        return True
+
+
+METRICS = ("p50", "p95", "p99", "errors")
+
+
+def metrics(side):
+    times = sorted(time for time, _ in side)
+    at = [times[min(int(len(times) * q), len(times) - 1)] for q in (0.5, 0.95, 0.99)]
+    return (*at, sum(erred for _, erred in side) / len(side))
+
+
--- /dev/null
+++ b/lemonlead/interface.py
@@ -0,0 +1,139 @@
+"""What passes the door between a host and a balancer (`lemonlead/balance.py`). Types only.
+
+Times are whole nanoseconds; a moment is read off the host's clock, which has no fixed start.
+"""
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+# What a lane's lookups do when they run twice.
+HARMLESS, STAMPED, ONE_SHOT = "harmless", "stamped", "one-shot"
+# How a send ended.
+SUCCEEDED, ERRED, REJECTED, TIMED_OUT = "succeeded", "erred", "rejected", "timed out"
+UNCONNECTED, RESET, WITHDRAWN, NOT_SENT = "unconnected", "reset", "withdrawn", "not sent"
+NEVER_RAN = (REJECTED, UNCONNECTED, NOT_SENT)  # the endings that prove that a send did not run
+# An instance's state as listed.
+GONE, DRAINING, READY = 0, 1, 2
+# A build's phase.
+ON_TRIAL, GOING_BACK, RELEASED, TAKEN_OFF = 0, 1, 2, 3
+# Verdicts, and what became of a vote.
+NO_VOTE, ON, HOLD, BACK = 0, 1, 2, 3
+COUNTED, MOOT, OVER_ALLOWANCE, VOTE_ERRED, UNANSWERED = "counted", "moot", "over", "erred", "unanswered"
+
+
+@dataclass(slots=True)
+class Lane:
+    number: int
+    effect: str
+    goal_time: int
+    hard_stop: int
+    revenue: float
+    late_share: float = 0.0  # share of the revenue that an answer past the goal time still earns
+    goal_stretch: float = 0.0  # the goal time grows by this multiple of the lookup's own work
+    group: str = "all"  # stamped: which instances drop repeats: "all", one "zone" or one "cell"
+    memory: int = 0  # stamped: for how long they do
+    streamed: bool = False
+
+
+@dataclass(slots=True)
+class Release:
+    """What is told of how builds come and go."""
+
+    control: str = "by_count"  # "first_voice", "by_count" or "automatic"
+    on_needed: int = 1
+    back_needed: int = 1
+    bake: int = 0
+    vote_life: int = 0
+    answer_time: int = 0
+    votes_per_s: float = 0.0
+    window: int = 0
+    free_sends: float = 0.0
+    per_lane: bool = False
+    guarded_stages: int = 0
+    forward_only: bool = False
+    caps: list = field(default_factory=list)
+    steps: list = field(default_factory=list)
+    old_price: float = 0.0
+    harm_price: float = 0.0
+    replaces: bool = False  # each earlier machine drains once its successor runs
+
+
+@dataclass(slots=True)
+class Start:
+    """All that a balancer is told when it starts."""
+
+    now: int
+    seed: int
+    me: int = 0
+    balancers: int = 1
+    zone: int = 0
+    step: int = 0
+    lanes: list = field(default_factory=list)
+    customer_shares: list = field(default_factory=list)  # lookups a second over all gateways
+    over_share_worth: float = 1.0
+    release: Release = field(default_factory=Release)
+    ask_for_list: bool = False
+    sends_cap: int = 1
+    may_withdraw: bool = False
+    may_duplicate: bool = False
+    may_probe: bool = False
+    hold_off_cap: int = 0  # the longest that a client heeds a time to come back; 0: it can be told none
+    connect_time: int = 0
+    drain_grace: int = 0
+    cold_time: int = 0
+    cold_share: float = 1.0
+    cold_multiple: float = 1.0
+    cold_window: int = 0
+    report_fields: list = field(default_factory=list)
+    by_work: bool = False
+    prices: dict = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Instance:
+    """One line of the list of instances."""
+
+    id: int
+    zone: int
+    kind: int
+    build: int
+    cell: int
+    state: int
+    nominal: float
+    started: int
+
+
+@dataclass(slots=True, eq=False)
+class Send:
+    lookup: "Lookup"
+    number: int
+    instance: object
+    at: int
+    end: str = ""  # how it ended; empty while it is out
+
+
+@dataclass(slots=True, eq=False)
+class Lookup:
+    id: int
+    lane: Lane
+    customer: int
+    key: int
+    arrived: int
+    hard_stop: int  # the moment at which the client gives this try up
+    work: int = 0  # the work hinted at, 0 without a hint
+    repeat: bool = False
+    sends: list = field(default_factory=list)
+    over: bool = False  # it has its final answer, or its client has left
+
+
+class Door(Protocol):
+    """What a balancer may ask of its host; each call takes effect at once."""
+
+    def send(self, lookup: Lookup, instance_id: int, time_out: int) -> None: ...
+    def withdraw(self, send: Send) -> None: ...
+    def push_back(self, lookup: Lookup, hold_off: int) -> None: ...
+    def abort(self, lookup: Lookup) -> None: ...
+    def probe(self, instance_id: int) -> None: ...
+    def watch_list(self) -> None: ...
+    def vote(self, build: int, stage: int, verdict: int) -> None: ...
+    def log(self, text: str) -> None: ...
--- /dev/null
+++ b/lemonlead/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter: hosts many balancers behind the simulator's wire."""
--- /dev/null
+++ b/lemonlead/wirehost/codec.py
@@ -0,0 +1,108 @@
+"""Frames of the wire: every record declared once, as a name and its fields. Only this file and the host's
+handlers know the wire's words; times are milliseconds here and whole nanoseconds past the host.
+"""
+
+import struct
+
+NS = 1_000_000  # nanoseconds in one of the wire's milliseconds
+
+
+class BadFrame(Exception):
+    """What was read is not a frame of this wire."""
+
+
+BATCH = struct.Struct("<IIId")
+REPLY = struct.Struct("<III")
+EVENT_SIZE, ACTION_SIZE = 48, 24
+ROW = struct.Struct("<IHHfHBfd")  # id, zone, kind, build, cell, state, nominal, start time
+
+_GAUGE = "B4f"
+# code: (name, fields). A tail reference is II: its offset and its length.
+EVENTS = {
+    1: ("up", "HQII"),
+    2: ("directory_update", "HBII"),
+    3: ("work_item", "HQBIQddH"),
+    4: ("first_byte", "HQIdH"),
+    5: ("reply", "HQHdBIH" + _GAUGE),
+    6: ("left", "HQ"),
+    7: ("wakeup", "HQ"),
+    8: ("health", "HIHd" + _GAUGE),
+    9: ("heard", "HIII"),
+    10: ("destroy", "H"),
+    11: ("stage", "HHBBBHfd"),
+    12: ("scorecard", "HBdIIdH"),
+    13: ("bad_answer", "HIBd"),
+    14: ("snapshot_rows", "III"),
+}
+ACTIONS = {
+    "pass_on": (65, "HQId"),
+    "busy": (66, "HQd"),
+    "finish_error": (67, "HQ"),
+    "withdraw": (68, "HQH"),
+    "sleep": (69, "HdQ"),
+    "ping": (70, "HI"),
+    "disconnect": (71, "HI"),
+    "broadcast_to": (72, "HHII"),
+    "write_log": (73, "HII"),
+    "bail_out": (74, "HII"),
+    "watch": (75, "HB"),
+    "pull": (76, "H"),
+    "say_so": (77, "HHBB"),
+}
+_READ = {code: (name, struct.Struct("<x" + fields)) for code, (name, fields) in EVENTS.items()}
+_WRITE = {name: (code, struct.Struct("<B" + fields)) for name, (code, fields) in ACTIONS.items()}
+
+
+def read_frame(stream):
+    """The next batch as (number, clock, [(name, fields)], tail), or None at the end of input."""
+    head = stream.read(BATCH.size)
+    if not head:
+        return None
+    if len(head) < BATCH.size:
+        raise BadFrame(f"input ends within a header: {len(head)} of {BATCH.size} bytes")
+    number, length, count, clock = BATCH.unpack(head)
+    size = length - (BATCH.size - 8)
+    if size < count * EVENT_SIZE:
+        raise BadFrame(f"batch {number}: {length} bytes cannot hold {count} records")
+    if not 0 <= clock < 1e15:
+        raise BadFrame(f"batch {number}: its clock is {clock}")
+    body = stream.read(size)
+    if len(body) < size:
+        raise BadFrame(f"batch {number}: input ends after {len(body)} of {size} bytes")
+    events = []
+    for at in range(0, count * EVENT_SIZE, EVENT_SIZE):
+        if body[at] not in _READ:
+            raise BadFrame(f"batch {number}: unknown event code {body[at]}")
+        name, fields = _READ[body[at]]
+        events.append((name, fields.unpack_from(body, at)))
+    return number, clock, events, memoryview(body)[count * EVENT_SIZE :]
+
+
+def cut(tail, offset, size):
+    """`size` bytes of the tail."""
+    if offset + size > len(tail):
+        raise BadFrame(f"a record refers to bytes {offset} to {offset + size} of a tail of {len(tail)}")
+    return tail[offset : offset + size]
+
+
+class Reply:
+    """One reply under construction; `tail` holds what has no fixed size."""
+
+    def __init__(self):
+        self.records = bytearray()
+        self.tail = bytearray()
+        self.count = 0
+
+    def add(self, name, *values):
+        code, fields = _WRITE[name]
+        self.records += fields.pack(code, *values).ljust(ACTION_SIZE, b"\0")
+        self.count += 1
+
+    def add_text(self, name, instance, text):
+        data = text.encode()
+        self.add(name, instance, len(self.tail), len(data))
+        self.tail += data
+
+    def frame(self, number):
+        length = REPLY.size - 8 + len(self.records) + len(self.tail)
+        return REPLY.pack(number, length, self.count) + bytes(self.records) + bytes(self.tail)
--- /dev/null
+++ b/lemonlead/wirehost/host.py
@@ -0,0 +1,239 @@
+"""Hosts many balancers on one wire: each event becomes a call, each answer a message."""
+
+import json
+import math
+
+from .. import interface as at_door
+from ..balance import Balancer
+from .codec import NS, ROW, BadFrame, Reply, cut
+
+_EFFECTS = {"idempotent": at_door.HARMLESS, "deduplicated": at_door.STAMPED}
+_ENDS = {
+    200: at_door.SUCCEEDED, 500: at_door.ERRED, 503: at_door.REJECTED, 504: at_door.TIMED_OUT,
+    502: at_door.UNCONNECTED, 598: at_door.RESET, 499: at_door.WITHDRAWN, 410: at_door.NOT_SENT,
+}
+_VOTES = {
+    200: at_door.COUNTED, 410: at_door.MOOT, 503: at_door.OVER_ALLOWANCE, 500: at_door.VOTE_ERRED,
+    504: at_door.UNANSWERED,
+}
+_FULL_LISTS = (0, 4)
+_FAILED_LIST = 1
+_LONGEST_SLEEP = 70 * 60 * 1000 * NS
+
+
+def _ns(ms):
+    return round(ms * NS) if math.isfinite(ms) else 0
+
+
+class Seat:
+    """One balancer's place: the door it calls through, its open lookups and its timer."""
+
+    def __init__(self, number, start):
+        self.number = number
+        self.reply = None
+        self.lookups = {}
+        self.out = {}  # (lookup id, send number): Send, also past the lookup's end
+        self.armed = None
+        self.lanes = {lane.number: lane for lane in start.lanes}
+        self.fields = start.report_fields
+        self.balancer = Balancer(start)
+
+    def send(self, lookup, instance_id, time_out):
+        self.out[lookup.id, lookup.sends[-1].number] = lookup.sends[-1]
+        self.reply.add("pass_on", self.number, lookup.id, instance_id, time_out / NS)
+
+    def withdraw(self, send):
+        self.reply.add("withdraw", self.number, send.lookup.id, send.number)
+
+    def push_back(self, lookup, hold_off):
+        del self.lookups[lookup.id]
+        self.reply.add("busy", self.number, lookup.id, hold_off / NS)
+
+    def abort(self, lookup):
+        del self.lookups[lookup.id]
+        self.reply.add("finish_error", self.number, lookup.id)
+
+    def probe(self, instance_id):
+        self.reply.add("ping", self.number, instance_id)
+
+    def watch_list(self):
+        self.reply.add("watch", self.number, 1)
+
+    def vote(self, build, stage, verdict):
+        self.reply.add("say_so", self.number, build, stage, verdict)
+
+    def log(self, text):
+        self.reply.add_text("write_log", self.number, text)
+
+    def pull(self, now):
+        while self.balancer.decide(now, self):
+            pass
+        wake = self.balancer.wake_at()
+        if wake is not None and (self.armed is None or wake < self.armed):
+            self.armed = wake
+            self.reply.add("sleep", self.number, min(max(wake - now, 0), _LONGEST_SLEEP) / NS, 0)
+
+
+class Host:
+    def __init__(self):
+        self.seats = {}
+        self.lists = {}
+        self.now = 0
+        self.tail = b""
+
+    def reply_to(self, frame):
+        number, clock, events, self.tail = frame
+        self.now = round(clock * NS)
+        reply = Reply()
+        touched = {}
+        for name, fields in events:
+            if name == "snapshot_rows":
+                self.snapshot_rows(*fields)
+                continue
+            if name == "up":
+                self.up(reply, *fields)
+            elif fields[0] not in self.seats:
+                raise BadFrame(f"batch {number}: {name} for gateway {fields[0]}, which is not up")
+            seat = self.seats.get(fields[0])
+            if seat is None:
+                continue
+            if name == "destroy":
+                del self.seats[fields[0]]
+                touched.pop(fields[0], None)
+                continue
+            touched[fields[0]] = seat
+            try:
+                if name != "up":
+                    getattr(self, name)(seat, *fields[1:])
+            except BadFrame:
+                raise
+            except Exception as error:
+                reply.add_text("bail_out", fields[0], f"{type(error).__name__}: {error}")
+        for seat in touched.values():
+            seat.reply = reply
+            try:
+                seat.pull(self.now)
+            except Exception as error:
+                reply.add_text("bail_out", seat.number, f"{type(error).__name__}: {error}")
+        return reply.frame(number)
+
+    def up(self, reply, instance, salt, offset, size):
+        try:
+            told = json.loads(bytes(cut(self.tail, offset, size)))
+            if not isinstance(told, dict):
+                raise ValueError("no object")
+            start = started(told, salt, self.now)
+        except (ValueError, TypeError, AttributeError) as error:
+            raise BadFrame(f"settings of gateway {instance} cannot be read: {error}") from None
+        try:
+            self.seats[instance] = Seat(instance, start)
+        except Exception as error:
+            self.seats.pop(instance, None)
+            reply.add_text("bail_out", instance, f"{type(error).__name__}: {error}")
+
+    def snapshot_rows(self, buffer, offset, count):
+        rows = []
+        for row in ROW.iter_unpack(cut(self.tail, offset, count * ROW.size)):
+            id, zone, kind, build, cell, state, nominal, started_at = row
+            build = int(build) if math.isfinite(build) else 0
+            rows.append(at_door.Instance(id, zone, kind, build, cell, state, nominal, _ns(started_at)))
+        self.lists[buffer] = rows
+
+    def directory_update(self, seat, form, generation, buffer):
+        if form == _FAILED_LIST:
+            seat.balancer.list_failed(self.now)
+        elif buffer not in self.lists:
+            raise BadFrame(f"gateway {seat.number}: no list has the number {buffer}")
+        else:
+            seat.balancer.listed(self.now, self.lists[buffer], form in _FULL_LISTS, form != 0)
+
+    def work_item(self, seat, id, lane, customer, key, left, hint, flags):
+        if lane not in seat.lanes:
+            raise BadFrame(f"gateway {seat.number}: a lookup of the unknown lane {lane}")
+        work = _ns(hint) if flags & 1 else 0
+        lookup = at_door.Lookup(
+            id, seat.lanes[lane], customer, key, self.now, self.now + _ns(left), work, bool(flags & 2)
+        )
+        seat.lookups[id] = lookup
+        seat.balancer.lookup_arrived(self.now, lookup)
+
+    def first_byte(self, seat, id, instance, lag, number):
+        if (send := seat.out.get((id, number))) is not None:
+            seat.balancer.stream_begun(self.now, send)
+
+    def reply(self, seat, id, number, lag, ended, instance, code, count, *gauge):
+        send = seat.out.pop((id, number), None)
+        if send is None:
+            return
+        if ended:
+            seat.lookups.pop(id, None)
+        end = _ENDS.get(code, at_door.ERRED)
+        report = dict(zip(seat.fields, gauge[:count], strict=False))
+        seat.balancer.send_ended(self.now, send, end, _ns(lag), bool(ended), report)
+
+    def left(self, seat, id):
+        if (lookup := seat.lookups.pop(id, None)) is not None:
+            seat.balancer.lookup_left(self.now, lookup)
+
+    def wakeup(self, seat, token):
+        seat.armed = None
+
+    def health(self, seat, instance, code, lag, count, *gauge):
+        report = dict(zip(seat.fields, gauge[:count], strict=False))
+        seat.balancer.probe_ended(self.now, instance, _ENDS.get(code, at_door.ERRED), _ns(lag), report)
+
+    def heard(self, seat, author, offset, size):
+        cut(self.tail, offset, size)  # balancers share nothing: checked, and left at that
+
+    def stage(self, seat, build, stage, phase, answers_vote, status, cap, age):
+        if answers_vote:
+            seat.balancer.vote_answered(self.now, _VOTES.get(status, at_door.VOTE_ERRED))
+        if status == 200:
+            seat.balancer.stage_told(self.now, build, stage, phase, cap)
+
+    def scorecard(self, seat, lane, mean, errors, count, age, build):
+        if lane in seat.lanes:
+            seat.balancer.tally_told(self.now, build, seat.lanes[lane], count, errors, _ns(mean), _ns(age))
+
+    def bad_answer(self, seat, instance, lane, age):
+        seat.balancer.answer_wrong(self.now, instance, _ns(age))
+
+
+def started(told, salt, now):
+    """The settings as read, in our words; what is absent stays at the interface's default."""
+    limits, rules, info = told.get("Limits", {}), told.get("Obligations", {}), told.get("FamilyInfo", {})
+    lanes = [
+        at_door.Lane(
+            number=n, effect=_EFFECTS.get(lane.get("Effect"), at_door.ONE_SHOT),
+            goal_time=_ns(lane.get("Slo", 0)), hard_stop=_ns(lane.get("GiveUp", 0)),
+            revenue=lane.get("Worth", 1.0), late_share=lane.get("LateWorth", 0.0),
+            goal_stretch=lane.get("AimStretch", 0.0), group=lane.get("Group", "all"),
+            memory=_ns(lane.get("Window", 0)), streamed=bool(lane.get("Stream")),
+        )
+        for n, lane in enumerate(told.get("Lanes", []))
+    ]
+    release = at_door.Release(
+        control=info.get("Control", "by_count"), on_needed=info.get("AyesNeeded", 1),
+        back_needed=info.get("NoesNeeded", 1), bake=_ns(info.get("Bake", 0)),
+        vote_life=_ns(info.get("BallotTtl", 0)), answer_time=_ns(info.get("ApiTimeout", 0)),
+        votes_per_s=info.get("VoteAllowance", 0.0), window=_ns(info.get("ExposureWindow", 0)),
+        free_sends=info.get("SpareTries", 0.0), per_lane=info.get("CapScope") == "each_class",
+        guarded_stages=info.get("GuardedStages", 0), forward_only=bool(info.get("ForwardOnly")),
+        caps=info.get("StageCap", []), steps=info.get("Steps", []),
+        old_price=info.get("StaleBuildPrice", 0.0), harm_price=info.get("HarmFee", 0.0),
+        replaces=info.get("Style") == "replace",
+    )
+    hold_off = _ns(limits.get("MaxRetryAfter", 0)) if limits.get("RetryAfter") else 0
+    return at_door.Start(
+        now=now, seed=salt, me=told.get("Me", 0), balancers=told.get("Balancers", 1),
+        zone=told.get("Az", 0), step=_ns(told.get("Step", 0)), lanes=lanes, release=release,
+        customer_shares=[customer.get("QuotaPerS", 0.0) for customer in told.get("Projects", [])],
+        over_share_worth=told.get("OverShareWorth", 1.0), ask_for_list=told.get("Discovery") == "ask",
+        sends_cap=limits.get("AttemptsCap", 1), may_withdraw=bool(limits.get("Cancel")),
+        may_duplicate=bool(limits.get("MayDuplicate")), may_probe=bool(limits.get("Probes")),
+        hold_off_cap=hold_off, connect_time=_ns(limits.get("ConnectTimeout", 0)),
+        drain_grace=_ns(rules.get("DrainGrace", 0)), cold_time=_ns(rules.get("Cold", 0)),
+        cold_share=rules.get("ColdFrom", 1.0), cold_multiple=rules.get("OverloadFactor", 1.0),
+        cold_window=_ns(rules.get("Fall", 0)), report_fields=told.get("Report", {}).get("Fields", []),
+        by_work=told.get("WorthBy") == "work", prices=told.get("Tariffs", {}),
+    )
