--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -86,7 +86,8 @@
         self.typical = 0.0  # time to answer by work over all instances, smoothed
         self.rescues = 5.0
         self.due = deque()  # lookups that want a decision
-        self.held = []  # lookups that wait for an instance to be free
+        self.held = []  # lookups that wait for an instance to be free, the highest revenue first
+        self.room = False  # whether one may have become free since the last look
         self.wakes = []
         self.wake_count = 0
         self.next_tick = start.now
@@ -149,9 +150,7 @@
         lookup.over = lookup.over or over
         if not lookup.over:
             self.due.append(lookup)
-        if self.held:
-            self.due.extend(self.held)
-            self.held.clear()
+        self.room = True
         slow = took > lookup.lane.goal_time
         if end in (SUCCEEDED, ERRED, REJECTED):
             member.heard_at, member.strikes, member.shunned_until = now, 0, 0
@@ -224,6 +223,17 @@
             lookup = self.due.popleft()
             if not lookup.over and self.settle(lookup, now, door):
                 return True
+        misses = 0
+        while self.room and self.held and misses < 3:
+            lookup = heapq.heappop(self.held)[-1]
+            if lookup.over or any(not send.end for send in lookup.sends):
+                continue
+            member = self.choose(lookup, now)
+            if member is not None:
+                return self.send(lookup, member, now, door)
+            misses += 1  # it may be bound to instances that the others need not wait for
+            self.wake(now + TICK, lookup)
+        self.room = False
         return False
 
     def settle(self, lookup, now, door):
@@ -240,8 +250,8 @@
         until = min(lookup.arrived + int(wait), lookup.hard_stop)
         if now >= until or self.spent(lookup):
             return self.give_up(lookup, door)
-        self.held.append(lookup)
-        self.wake(min(until, now + TICK), lookup)
+        self.wake(until, lookup)
+        heapq.heappush(self.held, (-lookup.lane.revenue, self.wake_count, lookup))
         return False
 
     def send(self, lookup, member, now, door):
@@ -406,6 +416,7 @@
     def tick(self, now):
         self.work_rate *= exp(-max(now - self.next_tick + TICK, 0) / self.cold_window)
         self.next_tick = now + TICK
+        self.room = True
         trial = self.trial
         if trial is None or trial is not self.told:
             return
