--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -13,17 +13,17 @@
 from statistics import median
 
 from .interface import (
-    BACK, COUNTED, ERRED, HARMLESS, HOLD, MOOT, NEVER_RAN, ON, ON_TRIAL, ONE_SHOT, READY, REJECTED, RELEASED,
-    RESET, STAMPED, SUCCEEDED, TIMED_OUT, UNCONNECTED, WITHDRAWN, Send,
+    BACK, COUNTED, ERRED, HARMLESS, HOLD, MOOT, NEVER_RAN, ON, ON_TRIAL, ONE_SHOT, READY, REJECTED,
+    RELEASED, RESET, STAMPED, SUCCEEDED, TIMED_OUT, UNCONNECTED, WITHDRAWN, Send,
 )
 
 MS = 1_000_000
 TICK = 100 * MS  # how often builds are judged and rates are aged
 PAIR = 500 * MS  # a pair of windows, one a build, lasts this long
 PAIRS = 4  # pairs in view, and pairs that a stage holds
-PAIR_OUTCOMES = 10  # fewer for either build: the pair is dropped
+PAIR_OUTCOMES = 8  # a pair stays open until each build has as many
 WARM_UP = 1000 * MS  # pairs start once each machine on trial has run for this long
-TOLERANCE, ERROR_TOLERANCE = 0.25, 0.02  # a breach is worse by more than this, or by more than the noise
+TOLERANCE, ERROR_TOLERANCE = 0.6, 0.02  # a breach is worse by more than this, or by more than the noise
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
 
 
@@ -39,6 +39,7 @@
         self.slowness = 0.0  # time to answer by work, smoothed; 0: not yet known
         self.limit = 6.0  # sends of this balancer that it may hold
         self.cut_at = 0  # when that limit was last cut
+        self.recent = 0.0  # sends of late, aged by the tick
         self.strikes = 0  # failures of the path since its last answer
         self.shunned_until = 0
         self.cold_free_at = now  # while it is cold: when it may be sent the next lookup
@@ -53,9 +54,10 @@
         self.sent = {}  # times of its sends within the window, by lane where the cap counts so
         self.keys = set()  # keys that it has answered, kept where they bind
         self.credit = 0.0  # sends that it is due by its machines' share
-        self.pairs = deque(maxlen=PAIRS)  # judged pairs: {(lane, metric): (earlier, trial)}
-        self.stage_pairs = 0  # pairs closed in this stage, judged or not
-        self.breached = 0  # of the pairs in view
+        self.began = 0  # its stage
+        self.tried = False  # seen on trial, so that there is an earlier build to go back to
+        self.pairs = deque(maxlen=PAIRS)  # pairs in view: {(lane, metric): (earlier, trial)}
+        self.breached = 0  # how many of them breach
         self.bad = False  # voted back
 
 
@@ -80,7 +82,9 @@
         self.builds = {}
         self.told = None  # the build that the last news spoke of
         self.trial = None  # the build on trial that has machines, if any
-        self.share = 0.0  # of the listed machines that run it
+        self.judged = None  # the build that votes can still move
+        self.like = set()  # kinds of machine that run it and the earlier build, where there are any
+        self.share = 0.0  # of the load that is due to the machines on trial
         self.taken = {}  # arrival times within the window, by lane where the cap counts so
         self.work_rate = 0.0  # work taken, by time
         self.typical = 0.0  # time to answer by work over all instances, smoothed
@@ -152,9 +156,10 @@
             self.due.append(lookup)
         self.room = True
         slow = took > lookup.lane.goal_time
+        silent = member.heard_at <= send.at and end in (TIMED_OUT, WITHDRAWN)
         if end in (SUCCEEDED, ERRED, REJECTED):
             member.heard_at, member.strikes, member.shunned_until = now, 0, 0
-        elif end in (UNCONNECTED, RESET) or (end == TIMED_OUT and member.heard_at <= send.at):
+        elif end in (UNCONNECTED, RESET) or (silent and end == TIMED_OUT):
             # Guards against machines that are dead, silent or cut off, whatever the cause: back off from
             # them, doubling, and try one lookup then. It could harm a machine that is only slow to connect.
             member.strikes += 1
@@ -173,7 +178,10 @@
             self.lane_work[number] += 0.01 * (took - self.lane_work[number])
         if end == SUCCEEDED and self.release.forward_only and lookup.key:
             member.build.keys.add(lookup.key)
-        self.note_outcome(member, lookup, end, took)
+        # Answers are the build's, and so is what was waited for in vain while others got theirs. What the path
+        # did (no connection, a reset, a silent machine) is not.
+        if self.pair_at is not None and (end in (SUCCEEDED, ERRED) or (slow and not silent and not over)):
+            self.note_outcome(now, member, lookup, end, took)
 
     def probe_ended(self, now, instance_id, end, took, report):
         pass  # none are sent
@@ -184,14 +192,15 @@
     def answer_wrong(self, now, instance_id, age):
         pass
 
-    def stage_told(self, now, number, stage, phase, cap):
+    def stage_told(self, now, number, stage, phase, cap, age):
         if number not in self.builds:
             self.builds[number] = Build(number, self.first_cap)
         build = self.told = self.builds[number]
         if (build.stage, build.phase) != (stage, phase):
             self.notes.append(f"build {number}: stage {stage}, phase {phase}, cap {cap:.2f}")
-            build.stage_pairs = 0
+            build.began = now - age
         build.stage, build.phase, build.cap = stage, phase, cap
+        build.tried = build.tried or phase == ON_TRIAL
         self.see_trial()
 
     def vote_answered(self, now, answer):
@@ -260,6 +269,7 @@
         if not member.out:
             member.heard_at = max(member.heard_at, now)
         member.out[send] = None
+        member.recent += 1
         if self.on_trial(member.build):
             member.build.sent.setdefault(self.count_of(lookup), deque()).append(now)
             member.build.credit = max(member.build.credit - 1.0, -3.0)
@@ -328,6 +338,8 @@
         """Health, as far as this balancer's own sends show it."""
         if len(member.out) >= member.limit or now < member.shunned_until:
             return False
+        if member.build.bad and lookup.lane.effect != HARMLESS:
+            return False
         if member.strikes and (member.out or lookup.lane.effect == ONE_SHOT):
             return False
         # Silent: sends are out and nothing at all has been heard for long.
@@ -402,86 +414,115 @@
             trial = newest if len(numbers) > 1 else None
         else:
             trial = newest if newest is not None and self.on_trial(newest) else None
-        if trial is not self.trial:
-            self.trial, self.pair_at, self.pair = trial, None, {}
-        on_it = sum(member.build is trial for member in self.members.values())
-        self.share = on_it / len(self.members) if self.members else 0.0
-
-    def note_outcome(self, member, lookup, end, took):
-        """Answers and time-outs are the build's; what the path did (no connection, a reset) is not."""
-        if self.pair_at is not None and end in (SUCCEEDED, ERRED, TIMED_OUT):
-            side = self.pair.setdefault((member.build is self.trial, lookup.lane.number), [])
-            side.append((took / max(lookup.work, 1), end == ERRED))
+        judged = self.told
+        if judged is not None and (not judged.tried or judged.phase not in (ON_TRIAL, RELEASED)):
+            judged = None
+        if trial is not self.trial or judged is not self.judged:
+            self.trial, self.judged, self.pair_at, self.pair = trial, judged, None, {}
+        on, off = set(), set()
+        for member in self.members.values():
+            (on if member.build is judged else off).add(member.kind)
+        self.like = on & off
+
+    def aim_share(self, now):
+        """What the machines on trial are due for like load per machine: as much as earlier ones of their kind
+        get, by their warmth."""
+        trial = [member for member in self.members.values() if member.build is self.trial]
+        rest = [member for member in self.members.values() if member.build is not self.trial]
+        total = sum(member.recent for member in rest)
+        if not total or not trial:
+            self.share = len(trial) / max(len(self.members), 1)
+            return
+        due = 0.0
+        for member in trial:
+            like = [other.recent for other in rest if other.kind == member.kind]
+            due += (sum(like) / len(like) if like else total / len(rest)) * self.warmth(member, now)
+        self.share = due / (due + total)
+
+    def note_outcome(self, now, member, lookup, end, took):
+        on, warmth = member.build is self.judged, self.warmth(member, now)
+        # Like against like: the same kinds of machine, and no cold ones on the earlier side.
+        if (not self.like or member.kind in self.like) and (on or warmth == 1):
+            side = self.pair.setdefault((on, lookup.lane.number), [])
+            side.append((took * warmth / max(lookup.work, 1), end == ERRED))
 
     def tick(self, now):
-        self.work_rate *= exp(-max(now - self.next_tick + TICK, 0) / self.cold_window)
+        aged = exp(-max(now - self.next_tick + TICK, 0) / self.cold_window)
+        self.work_rate *= aged
+        for member in self.members.values():
+            member.recent *= aged
         self.next_tick = now + TICK
         self.room = True
-        trial = self.trial
-        if trial is None or trial is not self.told:
+        if self.trial is not None:
+            self.aim_share(now)
+        build = self.judged
+        if build is None:
             return
         if self.pair_at is None:
-            starts = [member.started for member in self.members.values() if member.build is trial]
-            if max(starts, default=0) + WARM_UP <= now:
+            starts = [member.started for member in self.members.values() if member.build is build]
+            if starts and max(starts) + WARM_UP <= now:
                 self.pair_at, self.pair = now, {}
         elif now - self.pair_at >= PAIR:
-            self.close_pair(trial)
-            self.pair_at, self.pair = now, {}
-
-    def close_pair(self, trial):
-        trial.stage_pairs += 1
-        counts = {True: 0, False: 0}
-        for (on, _), side in self.pair.items():
-            counts[on] += len(side)
-        if min(counts.values()) < PAIR_OUTCOMES:
-            return
-        figures = {}
-        for (on, lane), side in self.pair.items():
-            earlier = self.pair.get((False, lane))
-            if on and earlier:
-                for metric, ours, theirs in zip(METRICS, metrics(side), metrics(earlier), strict=True):
-                    figures[lane, metric] = (theirs, ours)
-        stalled = [f[side] > 10 * figures[lane, "p50"][side] for (lane, m), f in figures.items() if m == "p99"
-                   for side in (0, 1)]
-        if figures and not all(stalled):
-            trial.pairs.append(figures)
-            self.judge(trial)
-
-    def judge(self, trial):
-        """Counts the pairs in view that breach, by the worst metric whose medians breach too."""
+            on, off = self.pooled(True), self.pooled(False)
+            alone = all(member.build is build for member in self.members.values())
+            if len(on) >= PAIR_OUTCOMES and (alone or len(off) >= PAIR_OUTCOMES):
+                self.close_pair(build, on, off)
+                self.pair_at, self.pair = now, {}
+
+    def pooled(self, on):
+        return [outcome for (which, _), side in self.pair.items() if which is on for outcome in side]
+
+    def close_pair(self, build, on, off):
+        """Keeps the figures of both builds: times over all lanes, errors lane by lane. A quantile is kept only
+        where enough outcomes stand beyond it. After the release only errors are compared, with none."""
+        figures = {(-1, "errors"): (errors(off), errors(on))}
+        for name, q in (("p50", 0.5), ("p95", 0.95), ("p99", 0.99)):
+            if min(len(on), len(off)) * (1 - q) >= 1:
+                figures[-1, name] = (quantile(off, q), quantile(on, q))
+        for (which, lane), side in self.pair.items():
+            if which and len(side) >= 2:
+                figures[lane, "errors"] = (errors(self.pair.get((False, lane))), errors(side))
+        build.pairs.append(figures)
+        self.judge(build)
+
+    def judge(self, build):
+        """Counts the pairs in view that breach, by the worst metric whose medians breach too. The noise floor
+        is the earlier build's spread alone: a trial whose figures swing must not excuse itself by that."""
         worst, why = 0, ""
-        for lane, metric in sorted({key for pair in trial.pairs for key in pair}):
-            seen = [pair[lane, metric] for pair in trial.pairs if (lane, metric) in pair]
-            sides = list(zip(*seen, strict=True))
-            middles = [median(side) for side in sides]
-            floor = max(abs(x - mid) for side, mid in zip(sides, middles, strict=True) for x in side)
-            tolerance = ERROR_TOLERANCE if metric == "errors" else TOLERANCE * middles[0]
-            bound = max(tolerance, floor)
-            if middles[1] - middles[0] > bound:
-                breached = sum(ours - theirs > bound for theirs, ours in seen)
-                if breached > worst:
-                    worst, why = breached, f"lane {lane} {metric} {middles[0]:.2f} to {middles[1]:.2f}"
-        trial.breached = worst
-        if 2 * worst > PAIRS and not trial.bad:
-            trial.bad = True
-            self.notes.append(f"build {trial.number} bad: {worst} of {len(trial.pairs)} pairs breach, {why}")
-
-    def verdict(self, build):
+        for lane, metric in sorted({key for pair in build.pairs for key in pair}):
+            seen = [pair[lane, metric] for pair in build.pairs if (lane, metric) in pair]
+            earlier, ours = (median(side) for side in zip(*seen, strict=True))
+            floor = max(abs(theirs - earlier) for theirs, _ in seen)
+            bound = max(ERROR_TOLERANCE if metric == "errors" else TOLERANCE * earlier, floor)
+            breached = sum(trial - theirs > bound for theirs, trial in seen)
+            if ours - earlier > bound and breached > worst:
+                worst, why = breached, f"lane {lane} {metric} {earlier:.2f} to {ours:.2f}, floor {floor:.2f}"
+        build.breached = worst
+        if worst >= 2 and 2 * worst > len(build.pairs) and not build.bad:
+            build.bad = True
+            self.notes.append(f"build {build.number} bad: {worst} of {len(build.pairs)} pairs breach, {why}")
+
+    def verdict(self, build, now):
         if build.bad:
             return BACK
-        if build.phase != ON_TRIAL or build is not self.trial:
+        if build.phase != ON_TRIAL:
             return None
         if self.release.control == "automatic":
             return HOLD if build.breached else None
-        if build.stage_pairs >= PAIRS and 2 * build.breached <= len(build.pairs):
-            return ON
-        return None
+        # On is voted by the time that the stage can end. With no pair judged, as where a balancer has little
+        # traffic, it waits four pairs longer and then leaves the judging to those that see more.
+        wait = 2 * WARM_UP + self.release.bake + (0 if build.pairs else PAIRS * PAIR)
+        doubt = 2 * build.breached >= len(build.pairs) > 0
+        if now < build.began + wait or doubt:
+            return None
+        open_errors = errors(self.pooled(True)) - errors(self.pooled(False))
+        return ON if open_errors <= ERROR_TOLERANCE else None
 
     def cast_vote(self, now, door):
         build = self.told
         if build is None or now < self.vote_at or build.phase not in (ON_TRIAL, RELEASED):
             return False
-        verdict = self.verdict(build)
+        verdict = self.verdict(build, now)
         if verdict is None:
             return False
         if verdict != self.vote_out:
@@ -492,12 +533,10 @@
         return True
 
 
-METRICS = ("p50", "p95", "p99", "errors")
-
-
-def metrics(side):
-    times = sorted(time for time, _ in side)
-    at = [times[min(int(len(times) * q), len(times) - 1)] for q in (0.5, 0.95, 0.99)]
-    return (*at, sum(erred for _, erred in side) / len(side))
+def quantile(outcomes, q):
+    times = sorted(time for time, _ in outcomes)
+    return times[min(int(len(times) * q), len(times) - 1)]
 
 
+def errors(outcomes):
+    return sum(erred for _, erred in outcomes) / len(outcomes) if outcomes else 0.0
--- a/lemonlead/wirehost/host.py
+++ b/lemonlead/wirehost/host.py
@@ -189,7 +189,7 @@
         if answers_vote:
             seat.balancer.vote_answered(self.now, _VOTES.get(status, at_door.VOTE_ERRED))
         if status == 200:
-            seat.balancer.stage_told(self.now, build, stage, phase, cap)
+            seat.balancer.stage_told(self.now, build, stage, phase, cap, _ns(age))
 
     def scorecard(self, seat, lane, mean, errors, count, age, build):
         if lane in seat.lanes:
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,80 @@
+"""Builds the state that a test needs."""
+
+from lemonlead import interface as at
+from lemonlead.balance import Balancer
+
+MS = 1_000_000
+NOW = 100_000 * MS
+
+
+class Desk:
+    """A door that writes down what it is asked."""
+
+    def __init__(self):
+        self.calls = []
+
+    def send(self, lookup, instance_id, time_out):
+        self.calls.append(("send", lookup.id, instance_id))
+
+    def withdraw(self, send):
+        self.calls.append(("withdraw", send.lookup.id, send.number))
+
+    def push_back(self, lookup, hold_off):
+        self.calls.append(("push back", lookup.id, hold_off))
+
+    def abort(self, lookup):
+        self.calls.append(("abort", lookup.id))
+
+    def watch_list(self):
+        self.calls.append(("watch",))
+
+    def vote(self, build, stage, verdict):
+        self.calls.append(("vote", build, stage, verdict))
+
+    def log(self, text):
+        pass
+
+    def pull(self, balancer, now):
+        """All that is decided at `now`."""
+        self.calls = []
+        while balancer.decide(now, self):
+            pass
+        return self.calls
+
+
+def lane(number=0, effect=at.HARMLESS, **more):
+    return at.Lane(number, effect, 1000 * MS, 4000 * MS, 1.0, **more)
+
+
+def line(id=1, build=1, zone=0, cell=0, state=at.READY, started=0, kind=0):
+    return at.Instance(id, zone, kind, build, cell, state, 1.0, started)
+
+
+def balancer(lines=(), lanes=None, told=(1, 0, at.RELEASED, 1.0), release=None, **more):
+    release = release or at.Release(
+        window=2000 * MS, free_sends=2, caps=[0.1, 0.5, 1.0], steps=[0.1, 0.5, 1.0], vote_life=4000 * MS,
+        answer_time=800 * MS, votes_per_s=100.0, bake=1000 * MS,
+    )
+    rules = dict(
+        step=5 * MS, sends_cap=4, may_withdraw=True, may_duplicate=True, connect_time=250 * MS,
+        cold_time=5000 * MS, cold_share=0.4, cold_window=2000 * MS, cold_multiple=3.0, hold_off_cap=500 * MS,
+    )
+    start = at.Start(now=NOW, seed=7, lanes=lanes or [lane()], release=release, **{**rules, **more})
+    made = Balancer(start)
+    made.listed(NOW, list(lines), True, True)
+    if told is not None:
+        made.stage_told(NOW, *told, 0)
+    return made
+
+
+def lookup(id=1, on=None, now=NOW, left=4000 * MS, key=0, work=100 * MS):
+    return at.Lookup(id, on or lane(), 0, key, now, now + left, work)
+
+
+def sent(asked, member, end="", at_time=NOW):
+    """A send of this lookup to this member, as ended so."""
+    send = at.Send(asked, len(asked.sends), member, at_time, end)
+    asked.sends.append(send)
+    if not end:
+        member.out[send] = None
+    return send
