Limits fall once a usual lookup would take over half its goal time

Cause: an instance's limit fell only on answers past the goal time, so queues stood just under it and most answers were late.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -165,21 +165,23 @@
             member.strikes += 1
             wait = min(250 * MS << min(member.strikes, 4), 3000 * MS)
             member.shunned_until = now + int(wait * self.rng.uniform(0.7, 1.0))
-        if end == REJECTED or slow:
+        number = lookup.lane.number
+        if end == SUCCEEDED or (end in (TIMED_OUT, WITHDRAWN) and slow):
+            ratio = took / max(lookup.work, 1)
+            self.typical += 0.02 * (ratio - self.typical) if self.typical else ratio
+            member.slowness += 0.15 * (ratio - member.slowness) if member.slowness else ratio
+            self.lane_work[number] += 0.01 * (lookup.work - self.lane_work[number])
+        # Guards against queues, whatever fills them: a usual lookup of this lane should take under half its
+        # goal time. It could hold back what a slow but idle machine can still do; the floor leaves it some.
+        if end == REJECTED or member.slowness * self.lane_work[number] > lookup.lane.goal_time / 2:
             if now - member.cut_at > 200 * MS:
                 member.cut_at, member.limit = now, max(member.limit * 0.8, 2.0)
         elif end == SUCCEEDED and 2 * len(member.out) >= member.limit:
             member.limit += 1 / member.limit
-        if end == SUCCEEDED or (end in (TIMED_OUT, WITHDRAWN) and slow):
-            ratio = took / max(lookup.work, 1)
-            self.typical += 0.02 * (ratio - self.typical) if self.typical else ratio
-            member.slowness += 0.1 * (ratio - member.slowness) if member.slowness else ratio
-            number = lookup.lane.number
-            self.lane_work[number] += 0.01 * (took - self.lane_work[number])
         if end == SUCCEEDED and self.release.forward_only and lookup.key:
             member.build.keys.add(lookup.key)
-        # Answers are the build's, and so is what was waited for in vain while others got theirs. What the path
-        # did (no connection, a reset, a silent machine) is not.
+        # Answers are the build's, and so is what was waited for in vain while others got theirs. What the
+        # path did (no connection, a reset, a silent machine) is not.
         if self.pair_at is not None and (end in (SUCCEEDED, ERRED) or (slow and not silent and not over)):
             self.note_outcome(now, member, lookup, end, took)
 
@@ -473,8 +475,8 @@
         return [outcome for (which, _), side in self.pair.items() if which is on for outcome in side]
 
     def close_pair(self, build, on, off):
-        """Keeps the figures of both builds: times over all lanes, errors lane by lane. A quantile is kept only
-        where enough outcomes stand beyond it. After the release only errors are compared, with none."""
+        """Keeps the figures of both builds: times over all lanes, errors lane by lane. A quantile is kept
+        only where an outcome stands beyond it. After the release only errors are compared, with none."""
         figures = {(-1, "errors"): (errors(off), errors(on))}
         for name, q in (("p50", 0.5), ("p95", 0.95), ("p99", 0.99)):
             if min(len(on), len(off)) * (1 - q) >= 1:
