--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -27,6 +27,9 @@
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
 
 
+SERVICE = (-1, "service")  # the pair's figure of the service time that instances report, over all lanes
+
+
 class Member:
     """All that is known of one instance: its line on the list, and what its sends have shown."""
 
@@ -37,6 +40,8 @@
         self.out = {}  # sends out, the oldest first
         self.heard_at = now  # its last answer, or the first send after it stood idle
         self.slowness = 0.0  # time to answer by work, smoothed; 0: not yet known
+        self.service = 0.0  # the same without waiting, where it is reported
+        self.others = 0.0  # what others have out there, as last reported, aged by the tick
         self.limit = 6.0  # sends of this balancer that it may hold
         self.cut_at = 0  # when that limit was last cut
         self.recent = 0.0  # sends of late, aged by the tick
@@ -50,7 +55,7 @@
 
     def __init__(self, number, cap):
         self.number, self.cap = number, cap
-        self.stage, self.phase = 0, ON_TRIAL
+        self.stage, self.phase = -1, ON_TRIAL  # no stage has been told
         self.sent = {}  # times of its sends within the window, by lane where the cap counts so
         self.keys = set()  # keys that it has answered, kept where they bind
         self.credit = 0.0  # sends that it is due by its machines' share
@@ -76,6 +81,7 @@
         self.cold_window = max(start.cold_window, TICK)
         self.top_revenue = max((lane.revenue for lane in start.lanes), default=1.0) or 1.0
         self.lane_work = {lane.number: lane.goal_time / 6 for lane in start.lanes}
+        self.mean_work = sum(self.lane_work.values()) / max(len(self.lane_work), 1)
         self.first_cap = release.caps[0] if release.caps else 0.0
         self.vote_gap = int(self.balancers / max(release.votes_per_s, 0.1) * 1e9)
         self.members = {}
@@ -134,6 +140,7 @@
 
     def lookup_arrived(self, now, lookup):
         lookup.work = lookup.work or int(self.lane_work[lookup.lane.number])
+        self.mean_work += 0.01 * (lookup.work - self.mean_work)
         self.taken.setdefault(self.count_of(lookup), deque()).append(now)
         self.work_rate += lookup.work / self.cold_window
         self.rescues = min(self.rescues + RESCUES, 20.0)
@@ -171,6 +178,10 @@
             self.typical += 0.02 * (ratio - self.typical) if self.typical else ratio
             member.slowness += 0.15 * (ratio - member.slowness) if member.slowness else ratio
             self.lane_work[number] += 0.01 * (lookup.work - self.lane_work[number])
+        if "svc_ms" in report:
+            member.service = report["svc_ms"] * MS / max(self.mean_work, 1)
+        if "busy_reqs" in report:
+            member.others = max(report["busy_reqs"] - len(member.out), 0)
         # Guards against queues, whatever fills them: a usual lookup of this lane should take under half its
         # goal time. It could hold back what a slow but idle machine can still do; the floor leaves it some.
         if end == REJECTED or member.slowness * self.lane_work[number] > lookup.lane.goal_time / 2:
@@ -183,7 +194,7 @@
         # Answers are the build's, and so is what was waited for in vain while others got theirs. What the
         # path did (no connection, a reset, a silent machine) is not.
         if self.pair_at is not None and (end in (SUCCEEDED, ERRED) or (slow and not silent and not over)):
-            self.note_outcome(now, member, lookup, end, took)
+            self.note_outcome(now, member, lookup, end, took, report.get("svc_ms"))
 
     def probe_ended(self, now, instance_id, end, took, report):
         pass  # none are sent
@@ -208,8 +219,6 @@
     def vote_answered(self, now, answer):
         waits = {COUNTED: int(0.5 * self.release.vote_life), MOOT: 200 * MS}
         self.vote_at = now + waits.get(answer, int(self.rng.uniform(200, 400) * MS))
-        if answer != COUNTED:
-            self.vote_out = None
 
     # ---- decisions, pulled one by one
 
@@ -316,25 +325,24 @@
     # ---- where to
 
     def choose(self, lookup, now):
-        """The better of two random instances of the build that is due a send, else of the other."""
+        """The instance that costs least, untried before tried, of the build that is due a send before others."""
         tried = [send.instance for send in lookup.sends]
-        trial, earlier = [], []
+        due = self.trial is not None and self.trial.credit >= 1 and not self.trial.bad
+        best, least = None, None
         for member in self.members.values():
             if self.usable(member, lookup, now) and self.may_send(lookup, member, now):
-                (trial if self.on_trial(member.build) else earlier).append(member)
-        pool = trial if self.trial is not None and self.trial.credit >= 1 and not self.trial.bad else earlier
-        pool = pool or earlier or trial
-        pool = [member for member in pool if member not in tried] or pool
-        if not pool:
-            return None
-        if len(pool) > 2:
-            pool = self.rng.sample(pool, 2)
-        return min(pool, key=lambda member: self.cost(member, now))
+                rank = (member in tried, self.on_trial(member.build) is not due, self.cost(member, now))
+                if least is None or rank < least:
+                    best, least = member, rank
+        return best
 
     def cost(self, member, now):
-        slowness = member.slowness or self.typical or 1.0
+        """Service time by load, as far as it is known: what is out, and what the instance reports of others'.
+        A little chance keeps balancers that see alike from choosing alike."""
+        slowness = member.service or member.slowness or self.typical or 1.0
         across = 1.0 if member.zone == self.zone else 1.1
-        return slowness * (1 + len(member.out)) * across / self.warmth(member, now)
+        held = 1 + len(member.out) + member.others
+        return slowness * held * across * self.rng.uniform(0.9, 1.1) / self.warmth(member, now)
 
     def usable(self, member, lookup, now):
         """Health, as far as this balancer's own sends show it."""
@@ -441,18 +449,19 @@
             due += (sum(like) / len(like) if like else total / len(rest)) * self.warmth(member, now)
         self.share = due / (due + total)
 
-    def note_outcome(self, now, member, lookup, end, took):
+    def note_outcome(self, now, member, lookup, end, took, service):
         on, warmth = member.build is self.judged, self.warmth(member, now)
         # Like against like: the same kinds of machine, and no cold ones on the earlier side.
         if (not self.like or member.kind in self.like) and (on or warmth == 1):
             side = self.pair.setdefault((on, lookup.lane.number), [])
-            side.append((took * warmth / max(lookup.work, 1), end == ERRED))
+            side.append((took * warmth / max(lookup.work, 1), end == ERRED, service and service * warmth))
 
     def tick(self, now):
         aged = exp(-max(now - self.next_tick + TICK, 0) / self.cold_window)
         self.work_rate *= aged
         for member in self.members.values():
             member.recent *= aged
+            member.others *= 0.8
         self.next_tick = now + TICK
         self.room = True
         if self.trial is not None:
@@ -484,25 +493,34 @@
         for (which, lane), side in self.pair.items():
             if which and len(side) >= 2:
                 figures[lane, "errors"] = (errors(self.pair.get((False, lane))), errors(side))
+        services = [[each for _, _, each in side if each] for side in (off, on)]
+        if all(services):
+            figures[SERVICE] = tuple(median(side) for side in services)
         build.pairs.append(figures)
         self.judge(build)
 
     def judge(self, build):
         """Counts the pairs in view that breach, by the worst metric whose medians breach too. The noise floor
-        is the earlier build's spread alone: a trial whose figures swing must not excuse itself by that."""
-        worst, why = 0, ""
-        for lane, metric in sorted({key for pair in build.pairs for key in pair}):
-            seen = [pair[lane, metric] for pair in build.pairs if (lane, metric) in pair]
-            earlier, ours = (median(side) for side in zip(*seen, strict=True))
-            floor = max(abs(theirs - earlier) for theirs, _ in seen)
-            bound = max(ERROR_TOLERANCE if metric == "errors" else TOLERANCE * earlier, floor)
-            breached = sum(trial - theirs > bound for theirs, trial in seen)
-            if ours - earlier > bound and breached > worst:
-                worst, why = breached, f"lane {lane} {metric} {earlier:.2f} to {ours:.2f}, floor {floor:.2f}"
-        build.breached = worst
-        if worst >= 2 and 2 * worst > len(build.pairs) and not build.bad:
-            build.bad = True
-            self.notes.append(f"build {build.number} bad: {worst} of {len(build.pairs)} pairs breach, {why}")
+        is the earlier build's spread alone: a trial whose figures swing must not excuse itself by that.
+        Where instances tell their service time, longer answers count only with longer service: a queue at
+        few machines is not the build's. Times want a breach more than errors, which chance hardly makes."""
+        build.breached = 0
+        for key in sorted({key for pair in build.pairs for key in pair} - {SERVICE}):
+            pairs = [pair for pair in build.pairs if key in pair]
+            earlier, ours = (median(pair[key][side] for pair in pairs) for side in (0, 1))
+            floor = max(abs(pair[key][0] - earlier) for pair in pairs)
+            timed = key[1] != "errors"
+            bound = max(TOLERANCE * earlier if timed else ERROR_TOLERANCE, floor)
+            breached = sum(
+                pair[key][1] - pair[key][0] > bound and not (timed and serves_alike(pair)) for pair in pairs
+            )
+            if ours - earlier <= bound or 2 * breached <= len(pairs):
+                continue
+            build.breached = max(build.breached, breached)
+            if breached >= 2 + timed and not build.bad:
+                build.bad = True
+                figures = f"lane {key[0]} {key[1]} {earlier:.2f} to {ours:.2f}, floor {floor:.2f}"
+                self.notes.append(f"build {build.number} bad: {breached} of {len(pairs)} pairs, {figures}")
 
     def verdict(self, build, now):
         if build.bad:
@@ -514,8 +532,7 @@
         # On is voted by the time that the stage can end. With no pair judged, as where a balancer has little
         # traffic, it waits four pairs longer and then leaves the judging to those that see more.
         wait = 2 * WARM_UP + self.release.bake + (0 if build.pairs else PAIRS * PAIR)
-        doubt = 2 * build.breached >= len(build.pairs) > 0
-        if now < build.began + wait or doubt:
+        if now < build.began + wait or build.breached:
             return None
         open_errors = errors(self.pooled(True)) - errors(self.pooled(False))
         return ON if open_errors <= ERROR_TOLERANCE else None
@@ -527,18 +544,24 @@
         verdict = self.verdict(build, now)
         if verdict is None:
             return False
-        if verdict != self.vote_out:
+        vote = (build.number, build.stage, verdict)
+        if vote != self.vote_out:
             self.notes.append(f"build {build.number}: vote {verdict} at stage {build.stage}")
-        self.vote_out = verdict
+        self.vote_out = vote
         self.vote_at = now + self.release.answer_time + max(self.vote_gap, self.step)
         door.vote(build.number, build.stage, verdict)
         return True
 
 
 def quantile(outcomes, q):
-    times = sorted(time for time, _ in outcomes)
+    times = sorted(time for time, _, _ in outcomes)
     return times[min(int(len(times) * q), len(times) - 1)]
 
 
 def errors(outcomes):
-    return sum(erred for _, erred in outcomes) / len(outcomes) if outcomes else 0.0
+    return sum(erred for _, erred, _ in outcomes) / len(outcomes) if outcomes else 0.0
+
+
+def serves_alike(pair):
+    earlier, ours = pair.get(SERVICE, (0, 1))
+    return ours <= earlier * (1 + TOLERANCE)
