--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -40,8 +40,6 @@
         self.out = {}  # sends out, the oldest first
         self.heard_at = now  # its last answer, or the first send after it stood idle
         self.slowness = 0.0  # time to answer by work, smoothed; 0: not yet known
-        self.service = 0.0  # the same without waiting, where it is reported
-        self.others = 0.0  # what others have out there, as last reported, aged by the tick
         self.limit = 6.0  # sends of this balancer that it may hold
         self.cut_at = 0  # when that limit was last cut
         self.recent = 0.0  # sends of late, aged by the tick
@@ -81,7 +79,6 @@
         self.cold_window = max(start.cold_window, TICK)
         self.top_revenue = max((lane.revenue for lane in start.lanes), default=1.0) or 1.0
         self.lane_work = {lane.number: lane.goal_time / 6 for lane in start.lanes}
-        self.mean_work = sum(self.lane_work.values()) / max(len(self.lane_work), 1)
         self.first_cap = release.caps[0] if release.caps else 0.0
         self.vote_gap = int(self.balancers / max(release.votes_per_s, 0.1) * 1e9)
         self.members = {}
@@ -140,7 +137,6 @@
 
     def lookup_arrived(self, now, lookup):
         lookup.work = lookup.work or int(self.lane_work[lookup.lane.number])
-        self.mean_work += 0.01 * (lookup.work - self.mean_work)
         self.taken.setdefault(self.count_of(lookup), deque()).append(now)
         self.work_rate += lookup.work / self.cold_window
         self.rescues = min(self.rescues + RESCUES, 20.0)
@@ -178,10 +174,6 @@
             self.typical += 0.02 * (ratio - self.typical) if self.typical else ratio
             member.slowness += 0.15 * (ratio - member.slowness) if member.slowness else ratio
             self.lane_work[number] += 0.01 * (lookup.work - self.lane_work[number])
-        if "svc_ms" in report:
-            member.service = report["svc_ms"] * MS / max(self.mean_work, 1)
-        if "busy_reqs" in report:
-            member.others = max(report["busy_reqs"] - len(member.out), 0)
         # Guards against queues, whatever fills them: a usual lookup of this lane should take under half its
         # goal time. It could hold back what a slow but idle machine can still do; the floor leaves it some.
         if end == REJECTED or member.slowness * self.lane_work[number] > lookup.lane.goal_time / 2:
@@ -325,7 +317,7 @@
     # ---- where to
 
     def choose(self, lookup, now):
-        """The instance that costs least, untried before tried, of the build that is due a send before others."""
+        """The instance that costs least, untried before tried, of the build that is due a send first."""
         tried = [send.instance for send in lookup.sends]
         due = self.trial is not None and self.trial.credit >= 1 and not self.trial.bad
         best, least = None, None
@@ -337,12 +329,10 @@
         return best
 
     def cost(self, member, now):
-        """Service time by load, as far as it is known: what is out, and what the instance reports of others'.
-        A little chance keeps balancers that see alike from choosing alike."""
-        slowness = member.service or member.slowness or self.typical or 1.0
+        """Time to answer of late by what is out. A little chance keeps balancers from choosing alike."""
+        slowness = member.slowness or self.typical or 1.0
         across = 1.0 if member.zone == self.zone else 1.1
-        held = 1 + len(member.out) + member.others
-        return slowness * held * across * self.rng.uniform(0.9, 1.1) / self.warmth(member, now)
+        return slowness * (1 + len(member.out)) * across * self.rng.uniform(0.9, 1.1) / self.warmth(member, now)
 
     def usable(self, member, lookup, now):
         """Health, as far as this balancer's own sends show it."""
@@ -461,7 +451,6 @@
         self.work_rate *= aged
         for member in self.members.values():
             member.recent *= aged
-            member.others *= 0.8
         self.next_tick = now + TICK
         self.room = True
         if self.trial is not None:
