Pairs of 1 s and a time tolerance of 0.8

Cause: late stages judged some twenty small pairs of eight outcomes, and three noisy ones sent good builds back.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -19,11 +19,11 @@
 
 MS = 1_000_000
 TICK = 100 * MS  # how often builds are judged and rates are aged
-PAIR = 500 * MS  # a pair of windows, one a build, lasts this long
+PAIR = 1000 * MS  # a pair of windows, one a build, lasts this long at least
 PAIRS = 4  # pairs in view, and pairs that a stage holds
 PAIR_OUTCOMES = 8  # a pair stays open until each build has as many
 WARM_UP = 1000 * MS  # pairs start once each machine on trial has run for this long
-TOLERANCE, ERROR_TOLERANCE = 0.6, 0.02  # a breach is worse by more than this, or by more than the noise
+TOLERANCE, ERROR_TOLERANCE = 0.8, 0.02  # a breach is worse by more than this, or by more than the noise
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
 
 
@@ -332,7 +332,8 @@
         """Time to answer of late by what is out. A little chance keeps balancers from choosing alike."""
         slowness = member.slowness or self.typical or 1.0
         across = 1.0 if member.zone == self.zone else 1.1
-        return slowness * (1 + len(member.out)) * across * self.rng.uniform(0.9, 1.1) / self.warmth(member, now)
+        chance = self.rng.uniform(0.9, 1.1)
+        return slowness * (1 + len(member.out)) * across * chance / self.warmth(member, now)
 
     def usable(self, member, lookup, now):
         """Health, as far as this balancer's own sends show it."""
@@ -519,8 +520,8 @@
         if self.release.control == "automatic":
             return HOLD if build.breached else None
         # On is voted by the time that the stage can end. With no pair judged, as where a balancer has little
-        # traffic, it waits four pairs longer and then leaves the judging to those that see more.
-        wait = 2 * WARM_UP + self.release.bake + (0 if build.pairs else PAIRS * PAIR)
+        # traffic, it waits two pairs longer and then leaves the judging to those that see more.
+        wait = 2 * WARM_UP + self.release.bake + (0 if build.pairs else 2 * PAIR)
         if now < build.began + wait or build.breached:
             return None
         open_errors = errors(self.pooled(True)) - errors(self.pooled(False))
