--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -24,9 +24,8 @@
 PAIR_OUTCOMES = 8  # a pair stays open until each build has as many
 WARM_UP = 1000 * MS  # pairs start once each machine on trial has run for this long
 TOLERANCE, ERROR_TOLERANCE = 0.8, 0.02  # a breach is worse by more than this, or by more than the noise
+FLAGS = 3  # answers found wrong that send a build back, at over twice the earlier build's rate
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
-
-
 SERVICE = (-1, "service")  # the pair's figure of the service time that instances report, over all lanes
 
 
@@ -60,7 +59,8 @@
         self.began = 0  # its stage
         self.tried = False  # seen on trial, so that there is an earlier build to go back to
         self.pairs = deque(maxlen=PAIRS)  # pairs in view: {(lane, metric): (earlier, trial)}
-        self.breached = 0  # how many of them breach
+        self.answers, self.flags = 0, 0  # all it gave, and those that clients found wrong
+        self.doubt = False  # the pairs' medians breach
         self.bad = False  # voted back
 
 
@@ -68,42 +68,42 @@
     def __init__(self, start):
         release = start.release
         self.rng = random.Random(start.seed)
-        self.zone, self.step = start.zone, start.step
-        self.balancers = max(start.balancers, 1)
-        self.release = release
+        self.zone = start.zone
         self.may_duplicate, self.may_withdraw = start.may_duplicate, start.may_withdraw
-        self.sends_cap = start.sends_cap
+        self.sends_cap, self.hold_off_cap = start.sends_cap, start.hold_off_cap
         self.resend_margin = start.connect_time + 2 * start.step
-        self.hold_off_cap = start.hold_off_cap
         self.cold_time, self.cold_share = start.cold_time, start.cold_share
         self.cold_window = max(start.cold_window, TICK)
         self.top_revenue = max((lane.revenue for lane in start.lanes), default=1.0) or 1.0
         self.lane_work = {lane.number: lane.goal_time / 6 for lane in start.lanes}
         self.first_cap = release.caps[0] if release.caps else 0.0
-        self.vote_gap = int(self.balancers / max(release.votes_per_s, 0.1) * 1e9)
+        # Sends are counted over a little more than the window and lookups over a little less.
+        self.sent_window, self.taken_window = release.window + 2 * start.step, release.window - 2 * start.step
+        self.free_sends, self.per_lane = release.free_sends, release.per_lane
+        self.guarded_stages, self.forward_only = release.guarded_stages, release.forward_only
+        self.clocked = release.control == "automatic"
+        self.stage_time = 2 * WARM_UP + release.bake  # a stage cannot end sooner
+        self.vote_life = release.vote_life
+        gap = int(max(start.balancers, 1) / max(release.votes_per_s, 0.1) * 1e9)
+        self.vote_wait = release.answer_time + max(gap, start.step)
         self.members = {}
-        self.builds = {}
+        self.builds = {}  # both by their ids
         self.told = None  # the build that the last news spoke of
         self.trial = None  # the build on trial that has machines, if any
         self.judged = None  # the build that votes can still move
         self.like = set()  # kinds of machine that run it and the earlier build, where there are any
         self.share = 0.0  # of the load that is due to the machines on trial
-        self.taken = {}  # arrival times within the window, by lane where the cap counts so
+        self.taken = {}  # as a build's `sent`: arrival times of lookups
         self.work_rate = 0.0  # work taken, by time
         self.typical = 0.0  # time to answer by work over all instances, smoothed
         self.rescues = 5.0
-        self.due = deque()  # lookups that want a decision
+        self.due, self.notes = deque(), deque()  # lookups that want a decision, lines to log
         self.held = []  # lookups that wait for an instance to be free, the highest revenue first
         self.room = False  # whether one may have become free since the last look
-        self.wakes = []
-        self.wake_count = 0
-        self.next_tick = start.now
-        self.ask_at = start.now if start.ask_for_list else None
-        self.pair_at = None  # when the pair now open began
-        self.pair = {}  # (on trial, lane): [(time by work, erred)]
-        self.vote_at = start.now
-        self.vote_out = None
-        self.notes = deque()
+        self.wakes, self.wake_count = [], 0
+        self.next_tick, self.ask_at = start.now, start.now if start.ask_for_list else None
+        self.pair_at, self.pair = None, {}  # the pair now open: its start, its outcomes by (on trial, lane)
+        self.vote_at, self.vote_out = start.now, None
 
     # ---- inputs: they only update what is known
 
@@ -113,19 +113,12 @@
         for line in lines:
             named.add(line.id)
             old = self.members.get(line.id)
-            if line.state != READY:
-                if old is not None:
-                    old.ready = False
-                continue
-            if old is not None and (old.build.number, old.started) == (line.build, line.started):
-                old.ready = True
-                continue
-            if line.build not in self.builds:
-                self.builds[line.build] = Build(line.build, self.first_cap)
-            self.members[line.id] = Member(line, self.builds[line.build], now)
-        if whole:
-            for member in self.members.values():
-                member.ready = member.ready and member.id in named
+            if old is None or (old.build.number, old.started) != (line.build, line.started):
+                build = self.builds.setdefault(line.build, Build(line.build, self.first_cap))
+                self.members[line.id] = Member(line, build, now)
+            self.members[line.id].ready = line.state == READY
+        for member in self.members.values():
+            member.ready = member.ready and (not whole or member.id in named)
         self.members = {id: member for id, member in self.members.items() if member.ready}
         if fresh:
             self.ask_at = None
@@ -181,26 +174,20 @@
                 member.cut_at, member.limit = now, max(member.limit * 0.8, 2.0)
         elif end == SUCCEEDED and 2 * len(member.out) >= member.limit:
             member.limit += 1 / member.limit
-        if end == SUCCEEDED and self.release.forward_only and lookup.key:
+        member.build.answers += end == SUCCEEDED
+        if end == SUCCEEDED and self.forward_only and lookup.key:
             member.build.keys.add(lookup.key)
         # Answers are the build's, and so is what was waited for in vain while others got theirs. What the
         # path did (no connection, a reset, a silent machine) is not.
         if self.pair_at is not None and (end in (SUCCEEDED, ERRED) or (slow and not silent and not over)):
             self.note_outcome(now, member, lookup, end, took, report.get("svc_ms"))
 
-    def probe_ended(self, now, instance_id, end, took, report):
-        pass  # none are sent
-
-    def tally_told(self, now, build, lane, sends, errors, mean, age):
-        pass
-
-    def answer_wrong(self, now, instance_id, age):
-        pass
+    def answer_wrong(self, now, instance_id):
+        if (member := self.members.get(instance_id)) is not None:
+            member.build.flags += 1
 
     def stage_told(self, now, number, stage, phase, cap, age):
-        if number not in self.builds:
-            self.builds[number] = Build(number, self.first_cap)
-        build = self.told = self.builds[number]
+        build = self.told = self.builds.setdefault(number, Build(number, self.first_cap))
         if (build.stage, build.phase) != (stage, phase):
             self.notes.append(f"build {number}: stage {stage}, phase {phase}, cap {cap:.2f}")
             build.began = now - age
@@ -209,7 +196,7 @@
         self.see_trial()
 
     def vote_answered(self, now, answer):
-        waits = {COUNTED: int(0.5 * self.release.vote_life), MOOT: 200 * MS}
+        waits = {COUNTED: self.vote_life // 2, MOOT: 200 * MS}
         self.vote_at = now + waits.get(answer, int(self.rng.uniform(200, 400) * MS))
 
     # ---- decisions, pulled one by one
@@ -240,8 +227,7 @@
             lookup = heapq.heappop(self.held)[-1]
             if lookup.over or any(not send.end for send in lookup.sends):
                 continue
-            member = self.choose(lookup, now)
-            if member is not None:
+            if (member := self.choose(lookup, now)) is not None:
                 return self.send(lookup, member, now, door)
             misses += 1  # it may be bound to instances that the others need not wait for
             self.wake(now + TICK, lookup)
@@ -255,8 +241,7 @@
             return self.give_up(lookup, door)
         if out:
             return self.rescue(lookup, out, now, door)
-        member = self.choose(lookup, now)
-        if member is not None:
+        if (member := self.choose(lookup, now)) is not None:
             return self.send(lookup, member, now, door)
         wait = lookup.lane.goal_time * lookup.lane.revenue / self.top_revenue / 2
         until = min(lookup.arrived + int(wait), lookup.hard_stop)
@@ -292,21 +277,18 @@
         last = out[-1]
         if len(out) > 1 or now < last.at + lookup.lane.goal_time // 2 or self.rescues < 1:
             return False
-        if self.may_duplicate:
-            member = self.choose(lookup, now)
-            if member is None:
-                return False
+        if self.may_duplicate and (member := self.choose(lookup, now)) is not None:
             self.rescues -= 1
             return self.send(lookup, member, now, door)
-        if self.may_withdraw and lookup.lane.effect == HARMLESS and not last.instance.heard_at > last.at:
+        harmless = lookup.lane.effect == HARMLESS
+        if self.may_withdraw and not self.may_duplicate and harmless and not last.instance.heard_at > last.at:
             self.rescues -= 1
             door.withdraw(last)
             return True
         return False
 
     def give_up(self, lookup, door):
-        lookup.over = True
-        lane = lookup.lane
+        lookup.over, lane = True, lookup.lane
         ran = any(send.end not in NEVER_RAN for send in lookup.sends)
         if ran and lane.effect != HARMLESS and (lane.effect == ONE_SHOT or lane.group != "all"):
             door.abort(lookup)
@@ -320,13 +302,10 @@
         """The instance that costs least, untried before tried, of the build that is due a send first."""
         tried = [send.instance for send in lookup.sends]
         due = self.trial is not None and self.trial.credit >= 1 and not self.trial.bad
-        best, least = None, None
-        for member in self.members.values():
-            if self.usable(member, lookup, now) and self.may_send(lookup, member, now):
-                rank = (member in tried, self.on_trial(member.build) is not due, self.cost(member, now))
-                if least is None or rank < least:
-                    best, least = member, rank
-        return best
+        fit = [m for m in self.members.values()
+               if self.usable(m, lookup, now) and self.may_send(lookup, m, now)]
+        ranks = [(m in tried, self.on_trial(m.build) is not due, self.cost(m, now)) for m in fit]
+        return fit[ranks.index(min(ranks))] if fit else None
 
     def cost(self, member, now):
         """Time to answer of late by what is out. A little chance keeps balancers from choosing alike."""
@@ -345,7 +324,7 @@
             return False
         # Silent: sends are out and nothing at all has been heard for long.
         quiet = now - member.heard_at if member.out else 0
-        return quiet <= max(4 * (self.typical or 2.0) * lookup.work, 300 * MS)
+        return quiet <= max(4 * (self.typical or 2.0) * self.lane_work[lookup.lane.number], 300 * MS)
 
     def may_send(self, lookup, member, now):
         """The rules. Every send passes here, whatever asked for it."""
@@ -374,15 +353,15 @@
         """An exact count over the window, a little wider for sends than for lookups. A lower cap
         binds at once and all sends in the window count against it, which is stricter than the rule."""
         stage = build.stage if build is self.told else 0
-        if build.cap <= 0 or (stage < self.release.guarded_stages and lookup.lane.effect != HARMLESS):
+        if build.cap <= 0 or (stage < self.guarded_stages and lookup.lane.effect != HARMLESS):
             return False
         sent = build.sent.get(self.count_of(lookup), ())
         taken = self.taken.get(self.count_of(lookup), ())
-        while sent and sent[0] < now - self.release.window - 2 * self.step:
+        while sent and sent[0] < now - self.sent_window:
             sent.popleft()
-        while taken and taken[0] <= now - self.release.window + 2 * self.step:
+        while taken and taken[0] <= now - self.taken_window:
             taken.popleft()
-        return len(sent) + 1 <= self.release.free_sends + build.cap * len(taken)
+        return len(sent) + 1 <= self.free_sends + build.cap * len(taken)
 
     def spent(self, lookup):
         return len(lookup.sends) >= self.sends_cap
@@ -400,7 +379,7 @@
         return build.number > self.told.number or (build is self.told and build.phase != RELEASED)
 
     def count_of(self, lookup):
-        return lookup.lane.number if self.release.per_lane else 0
+        return lookup.lane.number if self.per_lane else 0
 
     def wake(self, at, lookup):
         self.wake_count += 1
@@ -410,13 +389,11 @@
 
     def see_trial(self):
         numbers = sorted({member.build.number for member in self.members.values()})
-        newest = self.builds[numbers[-1]] if numbers else None
-        if self.told is None:
-            trial = newest if len(numbers) > 1 else None
-        else:
-            trial = newest if newest is not None and self.on_trial(newest) else None
-        judged = self.told
-        if judged is not None and (not judged.tried or judged.phase not in (ON_TRIAL, RELEASED)):
+        trial = self.builds[numbers[-1]] if numbers else None
+        if trial and not (self.on_trial(trial) if self.told else len(numbers) > 1):
+            trial = None
+        judged = self.told if self.told and self.told.tried else None
+        if judged and judged.phase not in (ON_TRIAL, RELEASED):
             judged = None
         if trial is not self.trial or judged is not self.judged:
             self.trial, self.judged, self.pair_at, self.pair = trial, judged, None, {}
@@ -426,8 +403,7 @@
         self.like = on & off
 
     def aim_share(self, now):
-        """What the machines on trial are due for like load per machine: as much as earlier ones of their kind
-        get, by their warmth."""
+        """For like load: machines on trial get as much as earlier ones of their kind, by their warmth."""
         trial = [member for member in self.members.values() if member.build is self.trial]
         rest = [member for member in self.members.values() if member.build is not self.trial]
         total = sum(member.recent for member in rest)
@@ -490,39 +466,44 @@
         self.judge(build)
 
     def judge(self, build):
-        """Counts the pairs in view that breach, by the worst metric whose medians breach too. The noise floor
-        is the earlier build's spread alone: a trial whose figures swing must not excuse itself by that.
+        """A metric whose medians breach is a doubt; if most pairs breach too the build is bad. The noise
+        floor is the earlier build's spread alone: a trial that swings must not excuse itself by that.
         Where instances tell their service time, longer answers count only with longer service: a queue at
         few machines is not the build's. Times want a breach more than errors, which chance hardly makes."""
-        build.breached = 0
+        build.doubt = False
+        others = [other for other in self.builds.values() if other is not build]
+        flags, answers = sum(other.flags for other in others), sum(other.answers for other in others)
+        if build.flags >= FLAGS and build.flags * answers > 2 * flags * build.answers:
+            self.condemn(build, f"{build.flags} of {build.answers} flagged, {flags} of {answers} before")
         for key in sorted({key for pair in build.pairs for key in pair} - {SERVICE}):
             pairs = [pair for pair in build.pairs if key in pair]
             earlier, ours = (median(pair[key][side] for pair in pairs) for side in (0, 1))
             floor = max(abs(pair[key][0] - earlier) for pair in pairs)
             timed = key[1] != "errors"
             bound = max(TOLERANCE * earlier if timed else ERROR_TOLERANCE, floor)
-            breached = sum(
-                pair[key][1] - pair[key][0] > bound and not (timed and serves_alike(pair)) for pair in pairs
-            )
-            if ours - earlier <= bound or 2 * breached <= len(pairs):
-                continue
-            build.breached = max(build.breached, breached)
-            if breached >= 2 + timed and not build.bad:
-                build.bad = True
-                figures = f"lane {key[0]} {key[1]} {earlier:.2f} to {ours:.2f}, floor {floor:.2f}"
-                self.notes.append(f"build {build.number} bad: {breached} of {len(pairs)} pairs, {figures}")
+            worse = [pair for pair in pairs if pair[key][1] - pair[key][0] > bound]
+            breached = sum(not (timed and serves_alike(pair)) for pair in worse)
+            if ours - earlier > bound and breached:
+                build.doubt = True
+                if breached >= 2 + timed and 2 * breached > len(pairs):
+                    why = f"lane {key[0]} {key[1]} {earlier:.2f} to {ours:.2f}, floor {floor:.2f}"
+                    self.condemn(build, f"{breached} of {len(pairs)} pairs breach, {why}")
+
+    def condemn(self, build, why):
+        if not build.bad:
+            build.bad = True
+            self.notes.append(f"build {build.number} bad: {why}")
 
     def verdict(self, build, now):
         if build.bad:
             return BACK
         if build.phase != ON_TRIAL:
             return None
-        if self.release.control == "automatic":
-            return HOLD if build.breached else None
+        if self.clocked:
+            return HOLD if build.doubt else None
         # On is voted by the time that the stage can end. With no pair judged, as where a balancer has little
         # traffic, it waits two pairs longer and then leaves the judging to those that see more.
-        wait = 2 * WARM_UP + self.release.bake + (0 if build.pairs else 2 * PAIR)
-        if now < build.began + wait or build.breached:
+        if now < build.began + self.stage_time + (0 if build.pairs else 2 * PAIR) or build.doubt:
             return None
         open_errors = errors(self.pooled(True)) - errors(self.pooled(False))
         return ON if open_errors <= ERROR_TOLERANCE else None
@@ -531,14 +512,13 @@
         build = self.told
         if build is None or now < self.vote_at or build.phase not in (ON_TRIAL, RELEASED):
             return False
-        verdict = self.verdict(build, now)
-        if verdict is None:
+        if (verdict := self.verdict(build, now)) is None:
             return False
         vote = (build.number, build.stage, verdict)
         if vote != self.vote_out:
             self.notes.append(f"build {build.number}: vote {verdict} at stage {build.stage}")
         self.vote_out = vote
-        self.vote_at = now + self.release.answer_time + max(self.vote_gap, self.step)
+        self.vote_at = now + self.vote_wait
         door.vote(build.number, build.stage, verdict)
         return True
 
--- a/lemonlead/wirehost/host.py
+++ b/lemonlead/wirehost/host.py
@@ -53,9 +53,6 @@
         del self.lookups[lookup.id]
         self.reply.add("finish_error", self.number, lookup.id)
 
-    def probe(self, instance_id):
-        self.reply.add("ping", self.number, instance_id)
-
     def watch_list(self):
         self.reply.add("watch", self.number, 1)
 
@@ -178,9 +175,8 @@
     def wakeup(self, seat, token):
         seat.armed = None
 
-    def health(self, seat, instance, code, lag, count, *gauge):
-        report = dict(zip(seat.fields, gauge[:count], strict=False))
-        seat.balancer.probe_ended(self.now, instance, _ENDS.get(code, at_door.ERRED), _ns(lag), report)
+    def health(self, seat, *found):
+        pass  # no balancer asks for a probe
 
     def heard(self, seat, author, offset, size):
         cut(self.tail, offset, size)  # balancers share nothing: checked, and left at that
@@ -191,12 +187,11 @@
         if status == 200:
             seat.balancer.stage_told(self.now, build, stage, phase, cap, _ns(age))
 
-    def scorecard(self, seat, lane, mean, errors, count, age, build):
-        if lane in seat.lanes:
-            seat.balancer.tally_told(self.now, build, seat.lanes[lane], count, errors, _ns(mean), _ns(age))
+    def scorecard(self, seat, *counted):
+        pass  # a balancer judges by its own outcomes
 
     def bad_answer(self, seat, instance, lane, age):
-        seat.balancer.answer_wrong(self.now, instance, _ns(age))
+        seat.balancer.answer_wrong(self.now, instance)
 
 
 def started(told, salt, now):
