--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,268 @@
+"""The module's rules and the failures found, each on the state it needs."""
+
+from collections import deque
+
+import pytest
+from helpers import MS, NOW, Desk, balancer, lane, line, lookup, sent
+
+from lemonlead import interface as at
+
+STAMPED_ZONE = lane(1, at.STAMPED, group="zone", memory=4000 * MS)
+STAMPED_ALL = lane(1, at.STAMPED, group="all", memory=8000 * MS)
+ONE_SHOT = lane(2, at.ONE_SHOT)
+SECOND = 1000 * MS
+
+
+def trial(stage=0, cap=0.1, phase=at.ON_TRIAL, **more):
+    """Two machines of build 1 and one of build 2, which is on trial."""
+    return balancer([line(1), line(2), line(3, build=2)], told=(2, stage, phase, cap), **more)
+
+
+@pytest.mark.parametrize(
+    "on, end, zone, age, allowed",
+    [
+        (lane(), "", 1, 10, True),
+        (lane(), at.ERRED, 1, 10, True),
+        (ONE_SHOT, at.UNCONNECTED, 1, 10, True),
+        (ONE_SHOT, at.REJECTED, 1, 10, True),
+        (ONE_SHOT, at.RESET, 0, 10, False),
+        (ONE_SHOT, at.ERRED, 0, 10, False),
+        (ONE_SHOT, "", 0, 10, False),
+        (STAMPED_ZONE, at.ERRED, 0, 10, True),
+        (STAMPED_ZONE, at.ERRED, 1, 10, False),
+        (STAMPED_ZONE, at.UNCONNECTED, 1, 10, True),
+        (STAMPED_ZONE, at.WITHDRAWN, 0, 3800, False),  # its memory would lapse before a slow connection opens
+        (STAMPED_ALL, at.TIMED_OUT, 1, 3800, True),
+    ],
+)
+def test_a_second_send_needs_the_lane_to_allow_it(on, end, zone, age, allowed):
+    made = balancer([line(1, zone=0), line(2, zone=zone)])
+    asked = lookup(on=on, left=30 * SECOND)
+    sent(asked, made.members[1], end)
+    assert made.may_send(asked, made.members[2], NOW + age * MS) is allowed
+
+
+def test_no_second_send_while_one_is_out_where_copies_are_barred():
+    made = balancer([line(1), line(2)], may_duplicate=False)
+    asked = lookup()
+    sent(asked, made.members[1])
+    assert not made.may_send(asked, made.members[2], NOW)
+
+
+@pytest.mark.parametrize("sends, left, allowed", [(3, 9, True), (4, 9, False), (0, 0, False), (0, -50, False)])
+def test_no_send_past_the_send_cap_or_the_hard_stop(sends, left, allowed):
+    made = balancer([line(1)])
+    asked = lookup(left=left * MS)
+    for _ in range(sends):
+        sent(asked, made.members[1], at.UNCONNECTED)
+    assert made.may_send(asked, made.members[1], NOW) is allowed
+
+
+@pytest.mark.parametrize(
+    "on, end, answer",
+    [
+        (lane(), at.TIMED_OUT, "push back"),
+        (STAMPED_ALL, at.TIMED_OUT, "push back"),
+        (STAMPED_ZONE, at.TIMED_OUT, "abort"),
+        (STAMPED_ZONE, at.REJECTED, "push back"),
+        (ONE_SHOT, at.RESET, "abort"),
+        (ONE_SHOT, at.NOT_SENT, "push back"),
+    ],
+)
+def test_the_final_answer_tells_what_may_have_run(on, end, answer):
+    made, desk = balancer([line(1)]), Desk()
+    asked = lookup(on=on)
+    sent(asked, made.members[1], end)
+    made.give_up(asked, desk)
+    assert [call[0] for call in desk.calls] == [answer] and asked.over
+
+
+@pytest.mark.parametrize("left", [0, -5, 300])
+def test_a_lookup_that_nobody_can_take_is_answered_once_and_in_time(left):
+    made, desk = balancer([]), Desk()
+    made.lookup_arrived(NOW, lookup(left=left * MS))
+    calls = [call[0] for ms in range(0, 600, 5) for call in desk.pull(made, NOW + ms * MS)]
+    assert calls.count("push back") == 1
+    calls = desk.pull(made, NOW + SECOND)
+    assert calls == []
+
+
+def test_what_is_held_costs_one_try_an_outcome():
+    """Guards against the jam in which each outcome tried every held lookup again."""
+    made, desk = balancer([line(1)]), Desk()
+    made.members[1].limit = 1.0
+    for number in range(200):
+        made.lookup_arrived(NOW, lookup(number))
+    assert len(desk.pull(made, NOW)) == 1
+    made.choose, tries = (lambda *args, choose=made.choose: tries.append(1) or choose(*args)), []
+    made.send_ended(NOW + MS, next(iter(made.members[1].out)), at.SUCCEEDED, MS, True, {})
+    desk.pull(made, NOW + MS)
+    assert len(tries) < 10
+
+
+@pytest.mark.parametrize("state", [at.DRAINING, at.GONE])
+def test_nothing_new_goes_to_what_drains_or_is_gone(state):
+    made, desk = balancer([line(1)]), Desk()
+    made.listed(NOW, [line(1, state=state)], False, True)
+    made.lookup_arrived(NOW, lookup())
+    assert not [call for call in desk.pull(made, NOW) if call[0] == "send"]
+
+
+def test_what_a_whole_list_leaves_out_is_gone_and_a_new_machine_starts_afresh():
+    made = balancer([line(1), line(2)])
+    made.members[2].strikes = 3
+    made.listed(NOW, [line(2, build=2, started=NOW)], True, True)
+    assert list(made.members) == [2]
+    assert (made.members[2].strikes, made.members[2].build.number) == (0, 2)
+
+
+def test_a_failed_call_for_the_list_is_made_again():
+    made, desk = balancer([line(1)], ask_for_list=True), Desk()
+    made.list_failed(NOW)
+    assert ("watch",) not in desk.pull(made, NOW)
+    assert ("watch",) in desk.pull(made, NOW + SECOND)
+
+
+def test_a_cold_fleet_is_sent_no_more_than_its_share_of_what_comes():
+    """All cold at once, in a burst: each gets at most its share of the work by its warmth."""
+    made, desk = balancer([line(n, started=NOW) for n in range(1, 5)]), Desk()
+    got = 0
+    for step in range(400):
+        now = NOW + step * 5 * MS
+        made.lookup_arrived(now, lookup(step, now=now, work=20 * MS))
+        got += sum(call[0] == "send" and call[2] == 1 for call in desk.pull(made, now))
+        for member in made.members.values():
+            member.out.clear()
+    assert 1 <= got <= 400 / 4 * 0.7
+
+
+@pytest.mark.parametrize(
+    "told, on, sends, taken, allowed",
+    [
+        ((2, 0, at.ON_TRIAL, 0.1), lane(), 1, 0, True),  # free sends
+        ((2, 0, at.ON_TRIAL, 0.1), lane(), 2, 0, False),
+        ((2, 0, at.ON_TRIAL, 0.1), lane(), 2, 10, True),
+        ((2, 0, at.ON_TRIAL, 0.1), lane(), 3, 10, False),
+        ((2, 0, at.ON_TRIAL, 0.0), lane(), 0, 99, False),
+        ((2, 1, at.GOING_BACK, 0.0), lane(), 0, 99, False),
+        ((2, 0, at.RELEASED, 1.0), ONE_SHOT, 99, 0, True),
+        ((1, 2, at.RELEASED, 1.0), lane(), 2, 10, True),  # not announced: as in the first stage
+        ((1, 2, at.RELEASED, 1.0), lane(), 3, 10, False),
+        ((1, 2, at.RELEASED, 1.0), ONE_SHOT, 0, 10, False),
+        ((2, 0, at.ON_TRIAL, 0.1), ONE_SHOT, 0, 10, False),  # guarded
+        ((2, 1, at.ON_TRIAL, 0.5), ONE_SHOT, 0, 10, True),
+    ],
+)
+def test_sends_to_a_build_on_trial_stay_within_the_cap(told, on, sends, taken, allowed):
+    made = trial()
+    made.guarded_stages = 1
+    made.stage_told(NOW, *told, 0)
+    for number in range(taken):
+        made.lookup_arrived(NOW, lookup(number, on=on))
+    made.members[3].build.sent[0] = deque([NOW] * sends)
+    assert made.may_send(lookup(99, on=on), made.members[3], NOW) is allowed
+
+
+def test_lanes_are_counted_apart_where_told():
+    made = trial()
+    made.per_lane = True
+    made.members[3].build.sent[0] = [NOW] * 2
+    assert not made.exposure_left(made.members[3].build, lookup(), NOW)
+    assert made.exposure_left(made.members[3].build, lookup(on=STAMPED_ALL), NOW)
+
+
+def test_a_key_that_the_new_build_answered_stays_with_it():
+    made = trial()
+    made.members[3].build.keys.add(77)
+    assert not made.may_send(lookup(key=77), made.members[1], NOW)
+    assert made.may_send(lookup(key=78), made.members[1], NOW)
+    made.stage_told(NOW, 2, 0, at.GOING_BACK, 0.0, 0)
+    assert made.may_send(lookup(key=77), made.members[1], NOW)
+
+
+def outcomes(slow=1.0, errs=0, count=20, service=None):
+    return [(slow * (1 + n % 5 / 10), n < errs, service) for n in range(count)]
+
+
+@pytest.mark.parametrize(
+    "on, off, bad",
+    [
+        (outcomes(), outcomes(), False),
+        (outcomes(1.5), outcomes(), False),
+        (outcomes(2.5), outcomes(), True),
+        (outcomes(2.5, service=10.0), outcomes(service=10.0), False),  # a queue, not the build
+        (outcomes(2.5, service=25.0), outcomes(service=10.0), True),
+        (outcomes(errs=4), outcomes(), True),
+        (outcomes(errs=4), outcomes(errs=4), False),  # both fail alike
+    ],
+)
+def test_a_build_is_bad_when_most_pairs_breach(on, off, bad):
+    made = trial()
+    build = made.judged
+    for _ in range(4):
+        made.close_pair(build, on, off)
+    assert build.bad is bad
+
+
+def test_a_trial_that_swings_does_not_excuse_itself():
+    """Its own spread is no noise floor: a queue that grows from pair to pair is worse, not noisier."""
+    made = trial()
+    for slow in (2.0, 5.0, 9.0, 15.0):
+        made.close_pair(made.judged, outcomes(slow), outcomes())
+    assert made.judged.bad
+
+
+def test_one_bad_pair_of_four_clears():
+    made = trial()
+    for slow in (1.0, 9.0, 1.0, 1.0):
+        made.close_pair(made.judged, outcomes(slow), outcomes())
+    assert not made.judged.bad and not made.judged.doubt
+
+
+def test_answers_found_wrong_send_a_build_back():
+    made = trial()
+    made.members[1].build.answers = made.members[3].build.answers = 100
+    for _ in range(3):
+        made.answer_wrong(NOW, 3)
+    made.answer_wrong(NOW, 999)
+    made.close_pair(made.judged, outcomes(), outcomes())
+    assert made.judged.bad
+
+
+@pytest.mark.parametrize(
+    "doubt, bad, age, clocked, verdict",
+    [
+        (False, False, 9, False, at.ON),
+        (False, False, 1, False, None),  # the stage cannot end yet
+        (True, False, 9, False, None),
+        (True, True, 9, False, at.BACK),
+        (True, False, 9, True, at.HOLD),
+        (False, False, 9, True, None),
+    ],
+)
+def test_the_verdict_on_a_stage(doubt, bad, age, clocked, verdict):
+    made = trial()
+    made.judged.doubt, made.judged.bad, made.clocked = doubt, bad, clocked
+    assert made.verdict(made.judged, NOW + age * SECOND) == verdict
+
+
+@pytest.mark.parametrize("answer", [at.OVER_ALLOWANCE, at.VOTE_ERRED, at.UNANSWERED, at.MOOT, at.COUNTED])
+def test_a_vote_is_cast_again_whatever_became_of_it(answer):
+    made, desk = trial(), Desk()
+    made.judged.bad = True
+    assert ("vote", 2, 0, at.BACK) in desk.pull(made, NOW)
+    made.vote_answered(NOW, answer)
+    assert ("vote", 2, 0, at.BACK) not in desk.pull(made, NOW)
+    assert ("vote", 2, 0, at.BACK) in desk.pull(made, NOW + 2 * SECOND)
+
+
+def test_a_silent_machine_is_shunned_and_then_tried_with_one_lookup():
+    made = balancer([line(1)])
+    member, asked = made.members[1], lookup()
+    send = sent(asked, member)
+    made.send_ended(NOW + SECOND, send, at.TIMED_OUT, SECOND, False, {})
+    assert not made.usable(member, lookup(2), NOW + SECOND)
+    assert made.usable(member, lookup(2), NOW + 9 * SECOND)
+    assert not made.usable(member, lookup(2, on=ONE_SHOT), NOW + 9 * SECOND)
+    sent(lookup(3), member)
+    assert not made.usable(member, lookup(2), NOW + 9 * SECOND)
