--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -167,9 +167,9 @@
             self.typical += 0.02 * (ratio - self.typical) if self.typical else ratio
             member.slowness += 0.15 * (ratio - member.slowness) if member.slowness else ratio
             self.lane_work[number] += 0.01 * (lookup.work - self.lane_work[number])
-        # Guards against queues, whatever fills them: a usual lookup of this lane should take under half its
-        # goal time. It could hold back what a slow but idle machine can still do; the floor leaves it some.
-        if end == REJECTED or member.slowness * self.lane_work[number] > lookup.lane.goal_time / 2:
+        # Guards against queues, whatever fills them: a usual lookup of this lane should take under a third of
+        # its goal time. It could hold back what a slow but idle machine can still do; the floor leaves it some.
+        if end == REJECTED or member.slowness * self.lane_work[number] > lookup.lane.goal_time / 3:
             if now - member.cut_at > 200 * MS:
                 member.cut_at, member.limit = now, max(member.limit * 0.8, 2.0)
         elif end == SUCCEEDED and 2 * len(member.out) >= member.limit:
@@ -243,7 +243,7 @@
             return self.rescue(lookup, out, now, door)
         if (member := self.choose(lookup, now)) is not None:
             return self.send(lookup, member, now, door)
-        wait = lookup.lane.goal_time * lookup.lane.revenue / self.top_revenue / 2
+        wait = lookup.lane.goal_time * lookup.lane.revenue / self.top_revenue / 4
         until = min(lookup.arrived + int(wait), lookup.hard_stop)
         if now >= until or self.spent(lookup):
             return self.give_up(lookup, door)
