Strain finds a build that slows old and new alike; times must double to breach

The earlier build's reported service time against its own before the trial shows it; a burst does not. Failed on the way: strain by outcome and by small samples alone sent good builds back; it now wants both service and own answers longer, and half the machines. It could harm where machines are shared all at once while a good build is on trial.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -23,10 +23,10 @@
 PAIRS = 4  # pairs in view, and pairs that a stage holds
 PAIR_OUTCOMES = 8  # a pair stays open until each build has as many
 WARM_UP = 1000 * MS  # pairs start once each machine on trial has run for this long
-TOLERANCE, ERROR_TOLERANCE = 0.8, 0.02  # a breach is worse by more than this, or by more than the noise
+TOLERANCE, SERVICE_TOLERANCE, ERROR_TOLERANCE = 1.0, 0.5, 0.02  # a breach is worse by more than this
 FLAGS = 3  # answers found wrong that send a build back, at over twice the earlier build's rate
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
-SERVICE = (-1, "service")  # the pair's figure of the service time that instances report, over all lanes
+STRAIN = (-1, "strain")  # the pair's figure of the earlier build by what it was before the trial
 
 
 class Member:
@@ -39,11 +39,10 @@
         self.out = {}  # sends out, the oldest first
         self.heard_at = now  # its last answer, or the first send after it stood idle
         self.slowness = 0.0  # time to answer by work, smoothed; 0: not yet known
-        self.limit = 6.0  # sends of this balancer that it may hold
-        self.cut_at = 0  # when that limit was last cut
+        self.limit, self.cut_at = 6.0, 0  # sends that this balancer may have out there; when it was last cut
+        self.service = self.usual = 0.0  # its reported service time of late, and while no build is on trial
         self.recent = 0.0  # sends of late, aged by the tick
-        self.strikes = 0  # failures of the path since its last answer
-        self.shunned_until = 0
+        self.strikes, self.shunned_until = 0, 0  # failures of the path since its last answer
         self.cold_free_at = now  # while it is cold: when it may be sent the next lookup
 
 
@@ -56,12 +55,10 @@
         self.sent = {}  # times of its sends within the window, by lane where the cap counts so
         self.keys = set()  # keys that it has answered, kept where they bind
         self.credit = 0.0  # sends that it is due by its machines' share
-        self.began = 0  # its stage
-        self.tried = False  # seen on trial, so that there is an earlier build to go back to
+        self.began, self.tried = 0, False  # when its stage began; seen on trial, so there is an earlier build
         self.pairs = deque(maxlen=PAIRS)  # pairs in view: {(lane, metric): (earlier, trial)}
         self.answers, self.flags = 0, 0  # all it gave, and those that clients found wrong
-        self.doubt = False  # the pairs' medians breach
-        self.bad = False  # voted back
+        self.doubt = self.bad = False  # the pairs' medians breach; it is voted back
 
 
 class Balancer:
@@ -88,9 +85,8 @@
         self.vote_wait = release.answer_time + max(gap, start.step)
         self.members = {}
         self.builds = {}  # both by their ids
-        self.told = None  # the build that the last news spoke of
-        self.trial = None  # the build on trial that has machines, if any
-        self.judged = None  # the build that votes can still move
+        # The build of the last news; the one on trial that has machines; the one that votes can still move.
+        self.told = self.trial = self.judged = None
         self.like = set()  # kinds of machine that run it and the earlier build, where there are any
         self.share = 0.0  # of the load that is due to the machines on trial
         self.taken = {}  # as a build's `sent`: arrival times of lookups
@@ -103,15 +99,15 @@
         self.wakes, self.wake_count = [], 0
         self.next_tick, self.ask_at = start.now, start.now if start.ask_for_list else None
         self.pair_at, self.pair = None, {}  # the pair now open: its start, its outcomes by (on trial, lane)
+        self.calm = deque(maxlen=2 * PAIRS)  # strain in windows with no build on trial: its usual spread
         self.vote_at, self.vote_out = start.now, None
 
     # ---- inputs: they only update what is known
 
     def listed(self, now, lines, whole, fresh):
         """The list, whole or its changes. It may be stale, and an id may stand for a new machine."""
-        named = set()
+        named = {line.id for line in lines}
         for line in lines:
-            named.add(line.id)
             old = self.members.get(line.id)
             if old is None or (old.build.number, old.started) != (line.build, line.started):
                 build = self.builds.setdefault(line.build, Build(line.build, self.first_cap))
@@ -138,10 +134,7 @@
         self.due.append(lookup)
 
     def lookup_left(self, now, lookup):
-        lookup.over = True
-
-    def stream_begun(self, now, send):
-        send.lookup.over = True  # its end is the client's; only the send's outcome is still to come
+        lookup.over = True  # also once its answer streams: the end is the client's then
 
     def send_ended(self, now, send, end, took, over, report):
         send.end = end
@@ -168,7 +161,7 @@
             member.slowness += 0.15 * (ratio - member.slowness) if member.slowness else ratio
             self.lane_work[number] += 0.01 * (lookup.work - self.lane_work[number])
         # Guards against queues, whatever fills them: a usual lookup of this lane should take under a third of
-        # its goal time. It could hold back what a slow but idle machine can still do; the floor leaves it some.
+        # its goal time. It could hold back what a slow but idle machine can do; the floor leaves it some.
         if end == REJECTED or member.slowness * self.lane_work[number] > lookup.lane.goal_time / 3:
             if now - member.cut_at > 200 * MS:
                 member.cut_at, member.limit = now, max(member.limit * 0.8, 2.0)
@@ -180,7 +173,11 @@
         # Answers are the build's, and so is what was waited for in vain while others got theirs. What the
         # path did (no connection, a reset, a silent machine) is not.
         if self.pair_at is not None and (end in (SUCCEEDED, ERRED) or (slow and not silent and not over)):
-            self.note_outcome(now, member, lookup, end, took, report.get("svc_ms"))
+            self.note_outcome(now, member, lookup, end, took)
+        if service := report.get("svc_ms"):
+            member.service += 0.3 * (service - member.service) if member.service else service
+            if self.trial is None:
+                member.usual += 0.1 * (service - member.usual) if member.usual else service
 
     def answer_wrong(self, now, instance_id):
         if (member := self.members.get(instance_id)) is not None:
@@ -245,7 +242,7 @@
             return self.send(lookup, member, now, door)
         wait = lookup.lane.goal_time * lookup.lane.revenue / self.top_revenue / 4
         until = min(lookup.arrived + int(wait), lookup.hard_stop)
-        if now >= until or self.spent(lookup):
+        if now >= until or len(lookup.sends) >= self.sends_cap:
             return self.give_up(lookup, door)
         self.wake(until, lookup)
         heapq.heappush(self.held, (-lookup.lane.revenue, self.wake_count, lookup))
@@ -280,8 +277,8 @@
         if self.may_duplicate and (member := self.choose(lookup, now)) is not None:
             self.rescues -= 1
             return self.send(lookup, member, now, door)
-        harmless = lookup.lane.effect == HARMLESS
-        if self.may_withdraw and not self.may_duplicate and harmless and not last.instance.heard_at > last.at:
+        again = self.may_withdraw and not self.may_duplicate and lookup.lane.effect == HARMLESS
+        if again and last.instance.heard_at <= last.at:
             self.rescues -= 1
             door.withdraw(last)
             return True
@@ -318,9 +315,8 @@
         """Health, as far as this balancer's own sends show it."""
         if len(member.out) >= member.limit or now < member.shunned_until:
             return False
-        if member.build.bad and lookup.lane.effect != HARMLESS:
-            return False
-        if member.strikes and (member.out or lookup.lane.effect == ONE_SHOT):
+        effect = lookup.lane.effect
+        if member.build.bad and effect != HARMLESS or member.strikes and (member.out or effect == ONE_SHOT):
             return False
         # Silent: sends are out and nothing at all has been heard for long.
         quiet = now - member.heard_at if member.out else 0
@@ -328,7 +324,7 @@
 
     def may_send(self, lookup, member, now):
         """The rules. Every send passes here, whatever asked for it."""
-        if not member.ready or now >= lookup.hard_stop or self.spent(lookup):
+        if not member.ready or now >= lookup.hard_stop or len(lookup.sends) >= self.sends_cap:
             return False
         lane = lookup.lane
         ran = [send for send in lookup.sends if send.end not in NEVER_RAN]
@@ -363,9 +359,6 @@
             taken.popleft()
         return len(sent) + 1 <= self.free_sends + build.cap * len(taken)
 
-    def spent(self, lookup):
-        return len(lookup.sends) >= self.sends_cap
-
     def warmth(self, member, now):
         """The share of its capacity that an instance is sure to have; 1 when it is warm."""
         age = now - member.started
@@ -397,10 +390,8 @@
             judged = None
         if trial is not self.trial or judged is not self.judged:
             self.trial, self.judged, self.pair_at, self.pair = trial, judged, None, {}
-        on, off = set(), set()
-        for member in self.members.values():
-            (on if member.build is judged else off).add(member.kind)
-        self.like = on & off
+        kinds = {(member.kind, member.build is judged) for member in self.members.values()}
+        self.like = {kind for kind, on in kinds if (kind, not on) in kinds}
 
     def aim_share(self, now):
         """For like load: machines on trial get as much as earlier ones of their kind, by their warmth."""
@@ -416,12 +407,12 @@
             due += (sum(like) / len(like) if like else total / len(rest)) * self.warmth(member, now)
         self.share = due / (due + total)
 
-    def note_outcome(self, now, member, lookup, end, took, service):
+    def note_outcome(self, now, member, lookup, end, took):
         on, warmth = member.build is self.judged, self.warmth(member, now)
         # Like against like: the same kinds of machine, and no cold ones on the earlier side.
         if (not self.like or member.kind in self.like) and (on or warmth == 1):
             side = self.pair.setdefault((on, lookup.lane.number), [])
-            side.append((took * warmth / max(lookup.work, 1), end == ERRED, service and service * warmth))
+            side.append((took * warmth / max(lookup.work, 1), end == ERRED))
 
     def tick(self, now):
         aged = exp(-max(now - self.next_tick + TICK, 0) / self.cold_window)
@@ -433,57 +424,69 @@
         if self.trial is not None:
             self.aim_share(now)
         build = self.judged
-        if build is None:
-            return
         if self.pair_at is None:
-            starts = [member.started for member in self.members.values() if member.build is build]
+            starts = [member.started for member in self.members.values() if build in (None, member.build)]
             if starts and max(starts) + WARM_UP <= now:
                 self.pair_at, self.pair = now, {}
         elif now - self.pair_at >= PAIR:
             on, off = self.pooled(True), self.pooled(False)
-            alone = all(member.build is build for member in self.members.values())
-            if len(on) >= PAIR_OUTCOMES and (alone or len(off) >= PAIR_OUTCOMES):
-                self.close_pair(build, on, off)
+            alone = len({member.build for member in self.members.values()}) == 1
+            if self.trial is None and len(on + off) >= PAIR_OUTCOMES:
+                self.calm.append((self.strain(), quantile(on + off, 0.5)))
+            if max(len(on), len(off)) >= PAIR_OUTCOMES and (alone or min(len(on), len(off)) >= PAIR_OUTCOMES):
+                if build is not None:
+                    self.close_pair(build, on, off)
                 self.pair_at, self.pair = now, {}
 
+    def strain(self):
+        """Reported service time by what it was before the trial, over the instances of earlier builds."""
+        ratios = [m.service / m.usual for m in self.members.values() if m.usual and m.build is not self.trial]
+        return median(ratios) if 2 * len(ratios) >= len(self.members) > 2 else 1.0
+
     def pooled(self, on):
         return [outcome for (which, _), side in self.pair.items() if which is on for outcome in side]
 
     def close_pair(self, build, on, off):
         """Keeps the figures of both builds: times over all lanes, errors lane by lane. A quantile is kept
         only where an outcome stands beyond it. After the release only errors are compared, with none."""
+        fit = [m for m in self.members.values() if m.service and (not self.like or m.kind in self.like)]
+        services = [[m.service for m in fit if (m.build is build) is on] for on in (False, True)]
+        # A queue at few machines is not the build's: where service times are told, longer answers count only
+        # with longer service.
+        alike = all(services) and median(services[1]) <= median(services[0]) * (1 + SERVICE_TOLERANCE)
         figures = {(-1, "errors"): (errors(off), errors(on))}
         for name, q in (("p50", 0.5), ("p95", 0.95), ("p99", 0.99)):
             if min(len(on), len(off)) * (1 - q) >= 1:
-                figures[-1, name] = (quantile(off, q), quantile(on, q))
+                earlier = quantile(off, q)
+                figures[-1, name] = (earlier, earlier if alike else quantile(on, q))
         for (which, lane), side in self.pair.items():
             if which and len(side) >= 2:
                 figures[lane, "errors"] = (errors(self.pair.get((False, lane))), errors(side))
-        services = [[each for _, _, each in side if each] for side in (off, on)]
-        if all(services):
-            figures[SERVICE] = tuple(median(side) for side in services)
+        if len(self.calm) >= PAIRS and off:
+            usual = [median(each) for each in zip(*self.calm, strict=True)]
+            floor = max(min(calm[0] / usual[0], calm[1] / usual[1]) for calm in self.calm) - 1
+            figures[STRAIN] = (1 + floor, min(self.strain() / usual[0], quantile(off, 0.5) / usual[1]))
         build.pairs.append(figures)
         self.judge(build)
 
     def judge(self, build):
         """A metric whose medians breach is a doubt; if most pairs breach too the build is bad. The noise
         floor is the earlier build's spread alone: a trial that swings must not excuse itself by that.
-        Where instances tell their service time, longer answers count only with longer service: a queue at
-        few machines is not the build's. Times want a breach more than errors, which chance hardly makes."""
+        Times want a breach more than errors, which chance hardly makes."""
         build.doubt = False
         others = [other for other in self.builds.values() if other is not build]
         flags, answers = sum(other.flags for other in others), sum(other.answers for other in others)
         if build.flags >= FLAGS and build.flags * answers > 2 * flags * build.answers:
             self.condemn(build, f"{build.flags} of {build.answers} flagged, {flags} of {answers} before")
-        for key in sorted({key for pair in build.pairs for key in pair} - {SERVICE}):
+        for key in sorted({key for pair in build.pairs for key in pair}):
             pairs = [pair for pair in build.pairs if key in pair]
             earlier, ours = (median(pair[key][side] for pair in pairs) for side in (0, 1))
             floor = max(abs(pair[key][0] - earlier) for pair in pairs)
             timed = key[1] != "errors"
-            bound = max(TOLERANCE * earlier if timed else ERROR_TOLERANCE, floor)
-            worse = [pair for pair in pairs if pair[key][1] - pair[key][0] > bound]
-            breached = sum(not (timed and serves_alike(pair)) for pair in worse)
-            if ours - earlier > bound and breached:
+            share = SERVICE_TOLERANCE if key == STRAIN else TOLERANCE
+            bound = max(share * earlier if timed else ERROR_TOLERANCE, floor)
+            breached = sum(pair[key][1] - pair[key][0] > bound for pair in pairs)
+            if ours - earlier > bound:
                 build.doubt = True
                 if breached >= 2 + timed and 2 * breached > len(pairs):
                     why = f"lane {key[0]} {key[1]} {earlier:.2f} to {ours:.2f}, floor {floor:.2f}"
@@ -517,21 +520,16 @@
         vote = (build.number, build.stage, verdict)
         if vote != self.vote_out:
             self.notes.append(f"build {build.number}: vote {verdict} at stage {build.stage}")
-        self.vote_out = vote
-        self.vote_at = now + self.vote_wait
-        door.vote(build.number, build.stage, verdict)
+        self.vote_out, self.vote_at = vote, now + self.vote_wait
+        door.vote(*vote)
         return True
 
 
 def quantile(outcomes, q):
-    times = sorted(time for time, _, _ in outcomes)
+    times = sorted(outcome[0] for outcome in outcomes)
     return times[min(int(len(times) * q), len(times) - 1)]
 
 
 def errors(outcomes):
-    return sum(erred for _, erred, _ in outcomes) / len(outcomes) if outcomes else 0.0
-
+    return sum(outcome[1] for outcome in outcomes) / len(outcomes) if outcomes else 0.0
 
-def serves_alike(pair):
-    earlier, ours = pair.get(SERVICE, (0, 1))
-    return ours <= earlier * (1 + TOLERANCE)
--- a/lemonlead/wirehost/host.py
+++ b/lemonlead/wirehost/host.py
@@ -156,7 +156,7 @@
 
     def first_byte(self, seat, id, instance, lag, number):
         if (send := seat.out.get((id, number))) is not None:
-            seat.balancer.stream_begun(self.now, send)
+            seat.balancer.lookup_left(self.now, send.lookup)
 
     def reply(self, seat, id, number, lag, ended, instance, code, count, *gauge):
         send = seat.out.pop((id, number), None)
