--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -164,7 +164,7 @@
         # its goal time. It could hold back what a slow but idle machine can do; the floor leaves it some.
         if end == REJECTED or member.slowness * self.lane_work[number] > lookup.lane.goal_time / 3:
             if now - member.cut_at > 200 * MS:
-                member.cut_at, member.limit = now, max(member.limit * 0.8, 2.0)
+                member.cut_at, member.limit = now, max(member.limit * 0.8, 1.0)
         elif end == SUCCEEDED and 2 * len(member.out) >= member.limit:
             member.limit += 1 / member.limit
         member.build.answers += end == SUCCEEDED
