Limits of one grow again, a quarter as fast

Cause: the send that had just ended was not counted as use, so a limit of one never grew; growing by a whole send at that floor overshot.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -165,8 +165,8 @@
         if end == REJECTED or member.slowness * self.lane_work[number] > lookup.lane.goal_time / 3:
             if now - member.cut_at > 200 * MS:
                 member.cut_at, member.limit = now, max(member.limit * 0.8, 1.0)
-        elif end == SUCCEEDED and 2 * len(member.out) >= member.limit:
-            member.limit += 1 / member.limit
+        elif end == SUCCEEDED and 2 * (len(member.out) + 1) >= member.limit:
+            member.limit += 0.25 / member.limit
         member.build.answers += end == SUCCEEDED
         if end == SUCCEEDED and self.forward_only and lookup.key:
             member.build.keys.add(lookup.key)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -270,3 +270,14 @@
     assert not made.usable(member, lookup(2, on=ONE_SHOT), NOW + 9 * SECOND)
     sent(lookup(3), member)
     assert not made.usable(member, lookup(2), NOW + 9 * SECOND)
+
+
+@pytest.mark.parametrize("took, grows", [(100, True), (900, False)])
+def test_a_limit_of_one_grows_on_quick_answers_and_falls_on_slow_ones(took, grows):
+    made = balancer([line(1)])
+    member = made.members[1]
+    member.limit = 1.0
+    for number in range(20):
+        asked = lookup(number)
+        made.send_ended(NOW + number * SECOND, sent(asked, member), at.SUCCEEDED, took * MS, True, {})
+    assert (member.limit > 1.5) is grows
