--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -71,6 +71,7 @@
         self.resend_margin = start.connect_time + 2 * start.step
         self.cold_time, self.cold_share = start.cold_time, start.cold_share
         self.cold_window = max(start.cold_window, TICK)
+        self.top_revenue = max((lane.revenue for lane in start.lanes), default=1.0) or 1.0
         self.lane_work = {lane.number: lane.goal_time / 6 for lane in start.lanes}
         self.first_cap = release.caps[0] if release.caps else 0.0
         # Sends are counted over a little more than the window and lookups over a little less.
@@ -239,7 +240,8 @@
             return self.rescue(lookup, out, now, door)
         if (member := self.choose(lookup, now)) is not None:
             return self.send(lookup, member, now, door)
-        until = min(lookup.arrived + lookup.lane.goal_time // 4, lookup.hard_stop)
+        wait = lookup.lane.goal_time * lookup.lane.revenue / self.top_revenue / 4
+        until = min(lookup.arrived + int(wait), lookup.hard_stop)
         if now >= until or len(lookup.sends) >= self.sends_cap:
             return self.give_up(lookup, door)
         self.wake(until, lookup)
