--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -160,8 +160,8 @@
             self.typical += 0.02 * (ratio - self.typical) if self.typical else ratio
             member.slowness += 0.15 * (ratio - member.slowness) if member.slowness else ratio
             self.lane_work[number] += 0.01 * (lookup.work - self.lane_work[number])
-        # Guards against queues, whatever fills them: a usual lookup of this lane should take under two fifths of
-        # its goal time. It could hold back what a slow but idle machine can do; the floor leaves it some.
+        # Guards against queues, whatever fills them: a usual lookup of this lane should take under two
+        # fifths of its goal time. It could hold back a slow but idle machine; the floor leaves it some.
         if end == REJECTED or member.slowness * self.lane_work[number] > lookup.lane.goal_time / 2.5:
             if now - member.cut_at > 200 * MS:
                 member.cut_at, member.limit = now, max(member.limit * 0.8, 1.0)
@@ -245,7 +245,7 @@
         if now >= until or len(lookup.sends) >= self.sends_cap:
             return self.give_up(lookup, door)
         self.wake(until, lookup)
-        heapq.heappush(self.held, (-lookup.lane.revenue, self.wake_count, lookup))
+        heapq.heappush(self.held, (-lookup.lane.revenue, lookup.repeat, -self.wake_count, lookup))
         return False
 
     def send(self, lookup, member, now, door):
