--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -290,7 +290,7 @@
         if ran and lane.effect != HARMLESS and (lane.effect == ONE_SHOT or lane.group != "all"):
             door.abort(lookup)
         else:
-            door.push_back(lookup, min(self.hold_off_cap, lane.goal_time // 8))
+            door.push_back(lookup, min(self.hold_off_cap, lane.goal_time // 16))
         return True
 
     # ---- where to
