A build found bad gets nothing while it holds under half the load

Cause: a build that slows all in step with its traffic went on getting harmless overflow while the platform was down and the vote unheard. It could harm where the trial's machines are needed in a jam; from half the load on they still serve.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -316,7 +316,7 @@
         if len(member.out) >= member.limit or now < member.shunned_until:
             return False
         effect = lookup.lane.effect
-        if member.build.bad and effect != HARMLESS or member.strikes and (member.out or effect == ONE_SHOT):
+        if member.build.bad and (effect != HARMLESS or self.share < 0.5) or member.strikes and (member.out or effect == ONE_SHOT):
             return False
         # Silent: sends are out and nothing at all has been heard for long.
         quiet = now - member.heard_at if member.out else 0
