--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -240,7 +240,7 @@
             return self.rescue(lookup, out, now, door)
         if (member := self.choose(lookup, now)) is not None:
             return self.send(lookup, member, now, door)
-        wait = lookup.lane.goal_time * lookup.lane.revenue / self.top_revenue / 4
+        wait = lookup.lane.goal_time * lookup.lane.revenue / self.top_revenue / 8
         until = min(lookup.arrived + int(wait), lookup.hard_stop)
         if now >= until or len(lookup.sends) >= self.sends_cap:
             return self.give_up(lookup, door)
