--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -301,15 +301,16 @@
         due = self.trial is not None and self.trial.credit >= 1 and not self.trial.bad
         fit = [m for m in self.members.values()
                if self.usable(m, lookup, now) and self.may_send(lookup, m, now)]
-        ranks = [(m in tried, self.on_trial(m.build) is not due, self.cost(m, now)) for m in fit]
+        ranks = [(m in tried, self.on_trial(m.build) is not due, self.cost(m, lookup, now)) for m in fit]
         return fit[ranks.index(min(ranks))] if fit else None
 
-    def cost(self, member, now):
+    def cost(self, member, lookup, now):
         """Time to answer of late by what is out. A little chance keeps balancers from choosing alike."""
         slowness = member.slowness or self.typical or 1.0
         across = 1.0 if member.zone == self.zone else 1.1
         chance = self.rng.uniform(0.9, 1.1)
-        return slowness * (1 + len(member.out)) * across * chance / self.warmth(member, now)
+        work = lookup.work + sum(send.lookup.work for send in member.out)
+        return slowness * work * across * chance / self.warmth(member, now)
 
     def usable(self, member, lookup, now):
         """Health, as far as this balancer's own sends show it."""
