--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -19,9 +19,8 @@
 
 MS = 1_000_000
 TICK = 100 * MS  # how often builds are judged and rates are aged
-PAIR = 1000 * MS  # a pair of windows, one a build, lasts this long at least
 PAIRS = 4  # pairs in view, and pairs that a stage holds
-PAIR_OUTCOMES = 8  # a pair stays open until each build has as many
+PAIR, PAIR_OUTCOMES = 1000 * MS, 8  # a pair stays open for so long, and until each build has as many
 WARM_UP = 1000 * MS  # pairs start once each machine on trial has run for this long
 TOLERANCE, SERVICE_TOLERANCE, ERROR_TOLERANCE = 1.0, 0.5, 0.02  # a breach is worse by more than this
 FLAGS = 3  # answers found wrong that send a build back, at over twice the earlier build's rate
@@ -39,12 +38,15 @@
         self.out = {}  # sends out, the oldest first
         self.heard_at = now  # its last answer, or the first send after it stood idle
         self.slowness = 0.0  # time to answer by work, smoothed; 0: not yet known
-        self.limit, self.cut_at = 6.0, 0  # sends that this balancer may have out there; when it was last cut
+        self.limit, self.cut_at = 6.0, 0  # usual lookups that it may hold of this balancer; when last cut
         self.service = self.usual = 0.0  # its reported service time of late, and while no build is on trial
         self.recent = 0.0  # sends of late, aged by the tick
         self.strikes, self.shunned_until = 0, 0  # failures of the path since its last answer
         self.cold_free_at = now  # while it is cold: when it may be sent the next lookup
 
+    def held(self):
+        return sum(send.lookup.work for send in self.out)
+
 
 class Build:
     """One build: what was told of it, what it was sent, and how it compares."""
@@ -64,8 +66,7 @@
 class Balancer:
     def __init__(self, start):
         release = start.release
-        self.rng = random.Random(start.seed)
-        self.zone = start.zone
+        self.rng, self.zone = random.Random(start.seed), start.zone
         self.may_duplicate, self.may_withdraw = start.may_duplicate, start.may_withdraw
         self.sends_cap, self.hold_off_cap = start.sends_cap, start.hold_off_cap
         self.resend_margin = start.connect_time + 2 * start.step
@@ -91,6 +92,7 @@
         self.share = 0.0  # of the load that is due to the machines on trial
         self.taken = {}  # as a build's `sent`: arrival times of lookups
         self.work_rate = 0.0  # work taken, by time
+        self.mean_work = sum(self.lane_work.values()) / max(len(self.lane_work), 1)  # of a lookup taken
         self.typical = 0.0  # time to answer by work over all instances, smoothed
         self.rescues = 5.0
         self.due, self.notes = deque(), deque()  # lookups that want a decision, lines to log
@@ -128,6 +130,7 @@
         lookup.work = lookup.work or int(self.lane_work[lookup.lane.number])
         self.taken.setdefault(self.count_of(lookup), deque()).append(now)
         self.work_rate += lookup.work / self.cold_window
+        self.mean_work += 0.01 * (lookup.work - self.mean_work)
         self.rescues = min(self.rescues + RESCUES, 20.0)
         if self.trial is not None and not self.trial.bad:
             self.trial.credit = min(self.trial.credit + self.share, 3.0)
@@ -240,8 +243,8 @@
             return self.rescue(lookup, out, now, door)
         if (member := self.choose(lookup, now)) is not None:
             return self.send(lookup, member, now, door)
-        wait = lookup.lane.goal_time * lookup.lane.revenue / self.top_revenue / 8
-        until = min(lookup.arrived + int(wait), lookup.hard_stop)
+        wait = int(lookup.lane.goal_time * lookup.lane.revenue / self.top_revenue / 8)
+        until = min(lookup.arrived + wait, lookup.hard_stop)
         if now >= until or len(lookup.sends) >= self.sends_cap:
             return self.give_up(lookup, door)
         self.wake(until, lookup)
@@ -309,15 +312,16 @@
         slowness = member.slowness or self.typical or 1.0
         across = 1.0 if member.zone == self.zone else 1.1
         chance = self.rng.uniform(0.9, 1.1)
-        work = lookup.work + sum(send.lookup.work for send in member.out)
-        return slowness * work * across * chance / self.warmth(member, now)
+        return slowness * (lookup.work + member.held()) * across * chance / self.warmth(member, now)
 
     def usable(self, member, lookup, now):
         """Health, as far as this balancer's own sends show it."""
-        if len(member.out) >= member.limit or now < member.shunned_until:
+        if member.held() >= member.limit * self.mean_work or now < member.shunned_until:
+            return False
+        effect, build = lookup.lane.effect, member.build
+        if build.bad and (effect != HARMLESS or self.share < 0.5):
             return False
-        effect = lookup.lane.effect
-        if member.build.bad and (effect != HARMLESS or self.share < 0.5) or member.strikes and (member.out or effect == ONE_SHOT):
+        if member.strikes and (member.out or effect == ONE_SHOT):
             return False
         # Silent: sends are out and nothing at all has been heard for long.
         quiet = now - member.heard_at if member.out else 0
@@ -329,9 +333,8 @@
             return False
         lane = lookup.lane
         ran = [send for send in lookup.sends if send.end not in NEVER_RAN]
-        if any(not send.end for send in ran) and not self.may_duplicate:
-            return False
-        if ran and lane.effect == ONE_SHOT:
+        out = any(not send.end for send in ran)
+        if out and not self.may_duplicate or ran and lane.effect == ONE_SHOT:
             return False
         if ran and lane.effect == STAMPED:
             if now - ran[0].at >= lane.memory - self.resend_margin:
@@ -386,9 +389,8 @@
         trial = self.builds[numbers[-1]] if numbers else None
         if trial and not (self.on_trial(trial) if self.told else len(numbers) > 1):
             trial = None
-        judged = self.told if self.told and self.told.tried else None
-        if judged and judged.phase not in (ON_TRIAL, RELEASED):
-            judged = None
+        told = self.told
+        judged = told if told and told.tried and told.phase in (ON_TRIAL, RELEASED) else None
         if trial is not self.trial or judged is not self.judged:
             self.trial, self.judged, self.pair_at, self.pair = trial, judged, None, {}
         kinds = {(member.kind, member.build is judged) for member in self.members.values()}
@@ -458,8 +460,7 @@
         figures = {(-1, "errors"): (errors(off), errors(on))}
         for name, q in (("p50", 0.5), ("p95", 0.95), ("p99", 0.99)):
             if min(len(on), len(off)) * (1 - q) >= 1:
-                earlier = quantile(off, q)
-                figures[-1, name] = (earlier, earlier if alike else quantile(on, q))
+                figures[-1, name] = (quantile(off, q), quantile(off if alike else on, q))
         for (which, lane), side in self.pair.items():
             if which and len(side) >= 2:
                 figures[lane, "errors"] = (errors(self.pair.get((False, lane))), errors(side))
@@ -505,8 +506,8 @@
             return None
         if self.clocked:
             return HOLD if build.doubt else None
-        # On is voted by the time that the stage can end. With no pair judged, as where a balancer has little
-        # traffic, it waits two pairs longer and then leaves the judging to those that see more.
+        # By the time that the stage can end; with no pair judged, as where there is little traffic, two pairs
+        # later, leaving the judging to balancers that see more.
         if now < build.began + self.stage_time + (0 if build.pairs else 2 * PAIR) or build.doubt:
             return None
         open_errors = errors(self.pooled(True)) - errors(self.pooled(False))
@@ -514,9 +515,8 @@
 
     def cast_vote(self, now, door):
         build = self.told
-        if build is None or now < self.vote_at or build.phase not in (ON_TRIAL, RELEASED):
-            return False
-        if (verdict := self.verdict(build, now)) is None:
+        movable = build is not None and now >= self.vote_at and build.phase in (ON_TRIAL, RELEASED)
+        if not movable or (verdict := self.verdict(build, now)) is None:
             return False
         vote = (build.number, build.stage, verdict)
         if vote != self.vote_out:
