--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -397,7 +397,7 @@
         self.like = {kind for kind, on in kinds if (kind, not on) in kinds}
 
     def aim_share(self, now):
-        """For like load: machines on trial get as much as earlier ones of their kind, by their warmth."""
+        """For like load: machines on trial get as much as earlier ones of their kind."""
         trial = [member for member in self.members.values() if member.build is self.trial]
         rest = [member for member in self.members.values() if member.build is not self.trial]
         total = sum(member.recent for member in rest)
@@ -407,7 +407,7 @@
         due = 0.0
         for member in trial:
             like = [other.recent for other in rest if other.kind == member.kind]
-            due += (sum(like) / len(like) if like else total / len(rest)) * self.warmth(member, now)
+            due += sum(like) / len(like) if like else total / len(rest)
         self.share = due / (due + total)
 
     def note_outcome(self, now, member, lookup, end, took):
