--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -41,6 +41,7 @@
         self.limit, self.cut_at = 6.0, 0  # usual lookups that it may hold of this balancer; when last cut
         self.service = self.usual = 0.0  # its reported service time of late, and while no build is on trial
         self.recent = 0.0  # sends of late, aged by the tick
+        self.failed = self.answered = 0
         self.strikes, self.shunned_until = 0, 0  # failures of the path since its last answer
         self.cold_free_at = now  # while it is cold: when it may be sent the next lookup
 
@@ -75,7 +76,6 @@
         self.top_revenue = max((lane.revenue for lane in start.lanes), default=1.0) or 1.0
         self.lane_work = {lane.number: lane.goal_time / 6 for lane in start.lanes}
         self.first_cap = release.caps[0] if release.caps else 0.0
-        # Sends are counted over a little more than the window and lookups over a little less.
         self.sent_window, self.taken_window = release.window + 2 * start.step, release.window - 2 * start.step
         self.free_sends, self.per_lane = release.free_sends, release.per_lane
         self.guarded_stages, self.forward_only = release.guarded_stages, release.forward_only
@@ -123,7 +123,6 @@
         self.see_trial()
 
     def list_failed(self, now):
-        # It may be the asking that failed or the watch that broke, and which is not told: ask again.
         self.ask_at = now + int(self.rng.uniform(300, 900) * MS)
 
     def lookup_arrived(self, now, lookup):
@@ -151,6 +150,7 @@
         silent = member.heard_at <= send.at and end in (TIMED_OUT, WITHDRAWN)
         if end in (SUCCEEDED, ERRED, REJECTED):
             member.heard_at, member.strikes, member.shunned_until = now, 0, 0
+            member.answered, member.failed = member.answered + 1, member.failed + (end == ERRED)
         elif end in (UNCONNECTED, RESET) or (silent and end == TIMED_OUT):
             # Guards against machines that are dead, silent or cut off, whatever the cause: back off from
             # them, doubling, and try one lookup then. It could harm a machine that is only slow to connect.
@@ -158,8 +158,11 @@
             wait = min(250 * MS << min(member.strikes, 4), 3000 * MS)
             member.shunned_until = now + int(wait * self.rng.uniform(0.7, 1.0))
         number = lookup.lane.number
-        if end == SUCCEEDED or (end in (TIMED_OUT, WITHDRAWN) and slow):
-            ratio = took / max(lookup.work, 1)
+        if end in (SUCCEEDED, ERRED, REJECTED) or (end in (TIMED_OUT, WITHDRAWN) and slow):
+            # Guards against machines that fail at once and, never busy, would draw all lookups: a failure is
+            # as slow as the goal time. It could idle a machine that fails one kind of lookup.
+            failed = end in (ERRED, REJECTED)
+            ratio = (lookup.lane.goal_time if failed else took) / max(lookup.work, 1)
             self.typical += 0.02 * (ratio - self.typical) if self.typical else ratio
             member.slowness += 0.15 * (ratio - member.slowness) if member.slowness else ratio
             self.lane_work[number] += 0.01 * (lookup.work - self.lane_work[number])
@@ -315,7 +318,7 @@
         return slowness * (lookup.work + member.held()) * across * chance / self.warmth(member, now)
 
     def usable(self, member, lookup, now):
-        """Health, as far as this balancer's own sends show it."""
+        """Health, as far as this balancer's own sends show it; silent is where nothing at all is heard."""
         if member.held() >= member.limit * self.mean_work or now < member.shunned_until:
             return False
         effect, build = lookup.lane.effect, member.build
@@ -323,7 +326,6 @@
             return False
         if member.strikes and (member.out or effect == ONE_SHOT):
             return False
-        # Silent: sends are out and nothing at all has been heard for long.
         quiet = now - member.heard_at if member.out else 0
         return quiet <= max(4 * (self.typical or 2.0) * self.lane_work[lookup.lane.number], 300 * MS)
 
@@ -350,8 +352,7 @@
         return not self.on_trial(member.build) or self.exposure_left(member.build, lookup, now)
 
     def exposure_left(self, build, lookup, now):
-        """An exact count over the window, a little wider for sends than for lookups. A lower cap
-        binds at once and all sends in the window count against it, which is stricter than the rule."""
+        """Exact over the window, a little wider for sends than for lookups. A lower cap binds at once."""
         stage = build.stage if build is self.told else 0
         if build.cap <= 0 or (stage < self.guarded_stages and lookup.lane.effect != HARMLESS):
             return False
@@ -396,36 +397,30 @@
         kinds = {(member.kind, member.build is judged) for member in self.members.values()}
         self.like = {kind for kind, on in kinds if (kind, not on) in kinds}
 
-    def aim_share(self, now):
+    def aim_share(self):
         """For like load: machines on trial get as much as earlier ones of their kind."""
         trial = [member for member in self.members.values() if member.build is self.trial]
         rest = [member for member in self.members.values() if member.build is not self.trial]
-        total = sum(member.recent for member in rest)
-        if not total or not trial:
-            self.share = len(trial) / max(len(self.members), 1)
-            return
-        due = 0.0
+        total, due = sum(member.recent for member in rest), 0.0
         for member in trial:
-            like = [other.recent for other in rest if other.kind == member.kind]
-            due += sum(like) / len(like) if like else total / len(rest)
-        self.share = due / (due + total)
+            like = [m.recent for m in rest if m.kind == member.kind] or [total / max(len(rest), 1)]
+            due += sum(like) / len(like)
+        self.share = due / (due + total) if total else len(trial) / max(len(self.members), 1)
 
     def note_outcome(self, now, member, lookup, end, took):
         on, warmth = member.build is self.judged, self.warmth(member, now)
         # Like against like: the same kinds of machine, and no cold ones on the earlier side.
         if (not self.like or member.kind in self.like) and (on or warmth == 1):
             side = self.pair.setdefault((on, lookup.lane.number), [])
-            side.append((took * warmth / max(lookup.work, 1), end == ERRED))
+            side.append((took * warmth / max(lookup.work, 1), end == ERRED, member))
 
     def tick(self, now):
         aged = exp(-max(now - self.next_tick + TICK, 0) / self.cold_window)
         self.work_rate *= aged
         for member in self.members.values():
             member.recent *= aged
-        self.next_tick = now + TICK
-        self.room = True
-        if self.trial is not None:
-            self.aim_share(now)
+        self.next_tick, self.room = now + TICK, True
+        self.aim_share()
         build = self.judged
         if self.pair_at is None:
             starts = [member.started for member in self.members.values() if build in (None, member.build)]
@@ -435,7 +430,7 @@
             on, off = self.pooled(True), self.pooled(False)
             alone = len({member.build for member in self.members.values()}) == 1
             if self.trial is None and len(on + off) >= PAIR_OUTCOMES:
-                self.calm.append((self.strain(), quantile(on + off, 0.5)))
+                self.calm.append((self.strain(), middle(on + off)))
             if max(len(on), len(off)) >= PAIR_OUTCOMES and (alone or min(len(on), len(off)) >= PAIR_OUTCOMES):
                 if build is not None:
                     self.close_pair(build, on, off)
@@ -450,31 +445,28 @@
         return [outcome for (which, _), side in self.pair.items() if which is on for outcome in side]
 
     def close_pair(self, build, on, off):
-        """Keeps the figures of both builds: times over all lanes, errors lane by lane. A quantile is kept
-        only where an outcome stands beyond it. After the release only errors are compared, with none."""
+        """Keeps the figures of both builds: the median time over all lanes, errors over all and lane by lane.
+        After the release only errors are compared, with none."""
         fit = [m for m in self.members.values() if m.service and (not self.like or m.kind in self.like)]
         services = [[m.service for m in fit if (m.build is build) is on] for on in (False, True)]
-        # A queue at few machines is not the build's: where service times are told, longer answers count only
-        # with longer service.
+        # A queue at few machines is not the build's: where told, longer answers want longer service.
         alike = all(services) and median(services[1]) <= median(services[0]) * (1 + SERVICE_TOLERANCE)
         figures = {(-1, "errors"): (errors(off), errors(on))}
-        for name, q in (("p50", 0.5), ("p95", 0.95), ("p99", 0.99)):
-            if min(len(on), len(off)) * (1 - q) >= 1:
-                figures[-1, name] = (quantile(off, q), quantile(off if alike else on, q))
+        if off:
+            figures[-1, "p50"] = (middle(off), middle(off if alike else on))
         for (which, lane), side in self.pair.items():
             if which and len(side) >= 2:
                 figures[lane, "errors"] = (errors(self.pair.get((False, lane))), errors(side))
         if len(self.calm) >= PAIRS and off:
             usual = [median(each) for each in zip(*self.calm, strict=True)]
             floor = max(min(calm[0] / usual[0], calm[1] / usual[1]) for calm in self.calm) - 1
-            figures[STRAIN] = (1 + floor, min(self.strain() / usual[0], quantile(off, 0.5) / usual[1]))
+            figures[STRAIN] = (1 + floor, min(self.strain() / usual[0], middle(off) / usual[1]))
         build.pairs.append(figures)
         self.judge(build)
 
     def judge(self, build):
-        """A metric whose medians breach is a doubt; if most pairs breach too the build is bad. The noise
-        floor is the earlier build's spread alone: a trial that swings must not excuse itself by that.
-        Times want a breach more than errors, which chance hardly makes."""
+        """A metric whose medians breach is a doubt; if most pairs breach too the build is bad. The floor is
+        the earlier build's spread alone. Times want a breach more than errors, which chance hardly makes."""
         build.doubt = False
         others = [other for other in self.builds.values() if other is not build]
         flags, answers = sum(other.flags for other in others), sum(other.answers for other in others)
@@ -506,9 +498,10 @@
             return None
         if self.clocked:
             return HOLD if build.doubt else None
-        # By the time that the stage can end; with no pair judged, as where there is little traffic, two pairs
-        # later, leaving the judging to balancers that see more.
-        if now < build.began + self.stage_time + (0 if build.pairs else 2 * PAIR) or build.doubt:
+        # By the time that the stage can end; unjudged, once a pair has stood open for two pairs' time. A list
+        # that lags must not pass a build that nobody met.
+        unmet = not build.pairs and (self.pair_at is None or now < self.pair_at + 2 * PAIR)
+        if now < build.began + self.stage_time or unmet or build.doubt:
             return None
         open_errors = errors(self.pooled(True)) - errors(self.pooled(False))
         return ON if open_errors <= ERROR_TOLERANCE else None
@@ -526,11 +519,17 @@
         return True
 
 
-def quantile(outcomes, q):
-    times = sorted(outcome[0] for outcome in outcomes)
-    return times[min(int(len(times) * q), len(times) - 1)]
+def middle(outcomes):
+    return median(time for time, _, _ in outcomes)
 
 
 def errors(outcomes):
-    return sum(outcome[1] for outcome in outcomes) / len(outcomes) if outcomes else 0.0
-
+    """The share that erred, without a machine that errs thrice as often as the other two or more: that is its
+    own fault, not its build's. It could hide a build that fails on one machine first, until more follow."""
+    members = list(dict.fromkeys(member for _, _, member in outcomes or ()))
+    worst = max(members, key=lambda member: member.failed / (member.answered + 1), default=None)
+    others = [member for member in members if member is not worst]
+    failed, answered = sum(m.failed for m in others), sum(m.answered for m in others)
+    if len(members) > 2 and worst.failed * answered > 3 * (failed + 1) * worst.answered:
+        outcomes = [outcome for outcome in outcomes if outcome[2] is not worst]
+    return sum(erred for _, erred, _ in outcomes) / len(outcomes) if outcomes else 0.0
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -180,8 +180,15 @@
     assert made.may_send(lookup(key=77), made.members[1], NOW)
 
 
-def outcomes(slow=1.0, errs=0, count=20):
-    return [(slow * (1 + n % 5 / 10), n < errs) for n in range(count)]
+def outcomes(slow=1.0, errs=0, count=20, machines=4, faulty=None):
+    """`errs` of them erred, spread over the machines or all at the faulty one."""
+    made = list(balancer([line(n) for n in range(machines)]).members.values())
+    seen = []
+    for n in range(count):
+        member = made[faulty] if faulty and n < errs else made[n % machines]
+        member.answered, member.failed = member.answered + 1, member.failed + (n < errs)
+        seen.append((slow * (1 + n % 5 / 10), n < errs, member))
+    return seen
 
 
 @pytest.mark.parametrize(
@@ -196,6 +203,8 @@
         (outcomes(2.5), outcomes(2.5), (11, 11), False),  # a burst, which leaves the service time
         (outcomes(errs=4), outcomes(), (0, 0), True),
         (outcomes(errs=4), outcomes(errs=4), (0, 0), False),  # both fail alike
+        (outcomes(errs=4, faulty=3), outcomes(), (0, 0), False),  # one machine's fault
+        (outcomes(errs=4, machines=1), outcomes(), (0, 0), True),
     ],
 )
 def test_a_build_is_bad_when_most_pairs_breach(on, off, services, bad):
@@ -247,6 +256,7 @@
 def test_the_verdict_on_a_stage(doubt, bad, age, clocked, verdict):
     made = trial()
     made.judged.doubt, made.judged.bad, made.clocked = doubt, bad, clocked
+    made.pair_at = NOW
     assert made.verdict(made.judged, NOW + age * SECOND) == verdict
 
 
@@ -281,3 +291,23 @@
         asked = lookup(number)
         made.send_ended(NOW + number * SECOND, sent(asked, member), at.SUCCEEDED, took * MS, True, {})
     assert (member.limit > 1.5) is grows
+
+
+def test_a_machine_that_fails_at_once_does_not_draw_lookups():
+    """Guards against the machine that errs or rejects in a millisecond and so never looks busy."""
+    made = balancer([line(1), line(2)])
+    for number in range(40):
+        for member, end, took in ((made.members[1], at.ERRED, MS), (made.members[2], at.SUCCEEDED, 100 * MS)):
+            made.send_ended(NOW, sent(lookup(number), member), end, took, True, {})
+    costs = [made.cost(member, lookup(99), NOW) for member in made.members.values()]
+    assert costs[0] > 3 * costs[1]
+
+
+@pytest.mark.parametrize("listed, verdict", [(True, at.ON), (False, None)])
+def test_a_build_that_nobody_met_is_not_voted_on(listed, verdict):
+    made, desk = balancer([line(1), line(2)], told=(2, 0, at.ON_TRIAL, 0.1)), Desk()
+    if listed:
+        made.listed(NOW, [line(3, build=2, started=NOW)], False, True)
+    for second in range(8):
+        desk.pull(made, NOW + second * SECOND)
+    assert made.verdict(made.told, NOW + 9 * SECOND) == verdict
