--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -412,8 +412,7 @@
         # Like against like: the same kinds of machine, and no cold ones on the earlier side.
         if (not self.like or member.kind in self.like) and (on or warmth == 1):
             side = self.pair.setdefault((on, lookup.lane.number), [])
-            alone = took / (lookup.work + member.held() + 1)  # as if nothing else were out there
-            side.append((took * warmth / max(lookup.work, 1), end == ERRED, member, alone))
+            side.append((took * warmth / max(lookup.work, 1), end == ERRED, member))
 
     def tick(self, now):
         aged = exp(-max(now - self.next_tick + TICK, 0) / self.cold_window)
@@ -431,7 +430,7 @@
             on, off = self.pooled(True), self.pooled(False)
             alone = len({member.build for member in self.members.values()}) == 1
             if self.trial is None and len(on + off) >= PAIR_OUTCOMES:
-                self.calm.append((self.strain(), middle(on + off, 3)))
+                self.calm.append((self.strain(), middle(on + off)))
             if max(len(on), len(off)) >= PAIR_OUTCOMES and (alone or min(len(on), len(off)) >= PAIR_OUTCOMES):
                 if build is not None:
                     self.close_pair(build, on, off)
@@ -461,7 +460,7 @@
         if len(self.calm) >= PAIRS and off:
             usual = [median(each) for each in zip(*self.calm, strict=True)]
             floor = max(min(calm[0] / usual[0], calm[1] / usual[1]) for calm in self.calm) - 1
-            figures[STRAIN] = (1 + floor, min(self.strain() / usual[0], middle(off, 3) / usual[1]))
+            figures[STRAIN] = (1 + floor, min(self.strain() / usual[0], middle(off) / usual[1]))
         build.pairs.append(figures)
         self.judge(build)
 
@@ -520,17 +519,17 @@
         return True
 
 
-def middle(outcomes, which=0):
-    return median(outcome[which] for outcome in outcomes)
+def middle(outcomes):
+    return median(time for time, _, _ in outcomes)
 
 
 def errors(outcomes):
     """The share that erred, without a machine that errs thrice as often as the other two or more: that is its
     own fault, not its build's. It could hide a build that fails on one machine first, until more follow."""
-    members = list(dict.fromkeys(member for _, _, member, _ in outcomes or ()))
+    members = list(dict.fromkeys(member for _, _, member in outcomes or ()))
     worst = max(members, key=lambda member: member.failed / (member.answered + 1), default=None)
     others = [member for member in members if member is not worst]
     failed, answered = sum(m.failed for m in others), sum(m.answered for m in others)
     if len(members) > 2 and worst.failed * answered > 3 * (failed + 1) * worst.answered:
         outcomes = [outcome for outcome in outcomes if outcome[2] is not worst]
-    return sum(erred for _, erred, _, _ in outcomes) / len(outcomes) if outcomes else 0.0
+    return sum(erred for _, erred, _ in outcomes) / len(outcomes) if outcomes else 0.0
