--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -38,7 +38,7 @@
         self.out = {}  # sends out, the oldest first
         self.heard_at = now  # its last answer, or the first send after it stood idle
         self.slowness = 0.0  # time to answer by work, smoothed; 0: not yet known
-        self.limit, self.cut_at = 6.0, 0  # usual lookups that it may hold of this balancer; when last cut
+        self.limit, self.cut_at = 3.0, 0  # usual lookups that it may hold of this balancer; when last cut
         self.service = self.usual = 0.0  # its reported service time of late, and while no build is on trial
         self.recent = 0.0  # sends of late, aged by the tick
         self.failed = self.answered = 0
