--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -40,8 +40,7 @@
         self.slowness = 0.0  # time to answer by work, smoothed; 0: not yet known
         self.limit, self.cut_at = 3.0, 0  # usual lookups that it may hold of this balancer; when last cut
         self.service = self.usual = 0.0  # its reported service time of late, and while no build is on trial
-        self.recent = 0.0  # sends of late, aged by the tick
-        self.failed = self.answered = 0
+        self.recent, self.failed, self.answered = 0.0, 0, 0  # sends of late, aged; errors, answers
         self.strikes, self.shunned_until = 0, 0  # failures of the path since its last answer
         self.cold_free_at = now  # while it is cold: when it may be sent the next lookup
 
@@ -60,6 +59,7 @@
         self.credit = 0.0  # sends that it is due by its machines' share
         self.began, self.tried = 0, False  # when its stage began; seen on trial, so there is an earlier build
         self.pairs = deque(maxlen=PAIRS)  # pairs in view: {(lane, metric): (earlier, trial)}
+        self.seen = deque(maxlen=200)  # its outcomes in closed pairs, the last of them
         self.answers, self.flags = 0, 0  # all it gave, and those that clients found wrong
         self.doubt = self.bad = False  # the pairs' medians breach; it is voted back
 
@@ -96,8 +96,7 @@
         self.typical = 0.0  # time to answer by work over all instances, smoothed
         self.rescues = 5.0
         self.due, self.notes = deque(), deque()  # lookups that want a decision, lines to log
-        self.held = []  # lookups that wait for an instance to be free, the highest revenue first
-        self.room = False  # whether one may have become free since the last look
+        self.held, self.room = [], False  # lookups that wait for an instance; whether one may have room
         self.wakes, self.wake_count = [], 0
         self.next_tick, self.ask_at = start.now, start.now if start.ask_for_list else None
         self.pair_at, self.pair = None, {}  # the pair now open: its start, its outcomes by (on trial, lane)
@@ -284,11 +283,11 @@
             self.rescues -= 1
             return self.send(lookup, member, now, door)
         again = self.may_withdraw and not self.may_duplicate and lookup.lane.effect == HARMLESS
-        if again and last.instance.heard_at <= last.at:
-            self.rescues -= 1
-            door.withdraw(last)
-            return True
-        return False
+        if not again or last.instance.heard_at > last.at:
+            return False
+        self.rescues -= 1
+        door.withdraw(last)
+        return True
 
     def give_up(self, lookup, door):
         lookup.over, lane = True, lookup.lane
@@ -339,11 +338,9 @@
         if out and not self.may_duplicate or ran and lane.effect == ONE_SHOT:
             return False
         if ran and lane.effect == STAMPED:
-            if now - ran[0].at >= lane.memory - self.resend_margin:
-                return False
-            if lane.group != "all" and any(
-                getattr(send.instance, lane.group) != getattr(member, lane.group) for send in ran
-            ):
+            group = lane.group
+            same = group == "all" or all(getattr(s.instance, group) == getattr(member, group) for s in ran)
+            if not same or now - ran[0].at >= lane.memory - self.resend_margin:
                 return False
         if self.warmth(member, now) < 1 and now < member.cold_free_at:
             return False
@@ -462,6 +459,7 @@
             floor = max(min(calm[0] / usual[0], calm[1] / usual[1]) for calm in self.calm) - 1
             figures[STRAIN] = (1 + floor, min(self.strain() / usual[0], middle(off) / usual[1]))
         build.pairs.append(figures)
+        build.seen.extend(on)
         self.judge(build)
 
     def judge(self, build):
@@ -503,8 +501,9 @@
         unmet = not build.pairs and (self.pair_at is None or now < self.pair_at + 2 * PAIR)
         if now < build.began + self.stage_time or unmet or build.doubt:
             return None
-        open_errors = errors(self.pooled(True)) - errors(self.pooled(False))
-        return ON if open_errors <= ERROR_TOLERANCE else None
+        # Errors too few for most pairs, as of a build that fails late, hold it all the same.
+        excess = errors(list(build.seen) + self.pooled(True)) - errors(self.pooled(False))
+        return ON if excess <= ERROR_TOLERANCE else None
 
     def cast_vote(self, now, door):
         build = self.told
@@ -524,12 +523,12 @@
 
 
 def errors(outcomes):
-    """The share that erred, without a machine that errs thrice as often as the other two or more: that is its
-    own fault, not its build's. It could hide a build that fails on one machine first, until more follow."""
-    members = list(dict.fromkeys(member for _, _, member in outcomes or ()))
+    """The share that erred, without a machine that errs thrice as often as those up as long: that is its own
+    fault, not its build's. A build that fails late does so on its oldest machine first, which stays in."""
+    members = list(dict.fromkeys(outcome[2] for outcome in outcomes or ()))
     worst = max(members, key=lambda member: member.failed / (member.answered + 1), default=None)
-    others = [member for member in members if member is not worst]
-    failed, answered = sum(m.failed for m in others), sum(m.answered for m in others)
-    if len(members) > 2 and worst.failed * answered > 3 * (failed + 1) * worst.answered:
+    peers = [member for member in members if member is not worst and member.started <= worst.started]
+    failed, answered = sum(peer.failed for peer in peers), sum(peer.answered for peer in peers)
+    if worst and worst.failed * answered > 3 * (failed + 1) * worst.answered:
         outcomes = [outcome for outcome in outcomes if outcome[2] is not worst]
     return sum(erred for _, erred, _ in outcomes) / len(outcomes) if outcomes else 0.0
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -6,6 +6,7 @@
 from helpers import MS, NOW, Desk, balancer, lane, line, lookup, sent
 
 from lemonlead import interface as at
+from lemonlead.balance import errors
 
 STAMPED_ZONE = lane(1, at.STAMPED, group="zone", memory=4000 * MS)
 STAMPED_ALL = lane(1, at.STAMPED, group="all", memory=8000 * MS)
@@ -311,3 +312,22 @@
     for second in range(8):
         desk.pull(made, NOW + second * SECOND)
     assert made.verdict(made.told, NOW + 9 * SECOND) == verdict
+
+
+def test_errors_too_few_for_most_pairs_still_hold_a_build():
+    """Guards against a build that starts to fail late and slips through to its release."""
+    made = trial()
+    made.pair_at = NOW
+    for errs in (0, 0, 2, 0, 2):
+        made.close_pair(made.judged, outcomes(errs=errs), outcomes())
+    assert not made.judged.bad and made.verdict(made.judged, NOW + 9 * SECOND) is None
+
+
+@pytest.mark.parametrize("started, share", [((0, 0, 0), 0.0), ((0, 9, 9), 0.25)])
+def test_a_faulty_machine_is_left_out_unless_none_is_up_as_long(started, share):
+    """A build that fails late fails on its oldest machine first: that is no faulty machine."""
+    members = list(balancer([line(n, started=NOW + up) for n, up in enumerate(started)]).members.values())
+    for member, failed in zip(members, (6, 0, 0), strict=True):
+        member.answered, member.failed = 20, failed
+    seen = [(1.0, n % 4 == 0, members[0 if n % 4 == 0 else 1 + n % 2]) for n in range(24)]
+    assert errors(seen) == share
