Strain by the lower quartile of instances

Cause: other programs on up to half the machines, and a lost site whose load the rest takes, looked like a build that slows all.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -434,9 +434,10 @@
                 self.pair_at, self.pair = now, {}
 
     def strain(self):
-        """Reported service time by what it was before the trial, over the instances of earlier builds."""
+        """Reported service time by what it was before the trial: the lower quartile over earlier instances,
+        for what slows all slows the least slowed; other programs slow but some."""
         ratios = [m.service / m.usual for m in self.members.values() if m.usual and m.build is not self.trial]
-        return median(ratios) if 2 * len(ratios) >= len(self.members) > 2 else 1.0
+        return sorted(ratios)[len(ratios) // 4] if 2 * len(ratios) >= len(self.members) > 2 else 1.0
 
     def pooled(self, on):
         return [outcome for (which, _), side in self.pair.items() if which is on for outcome in side]
