--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -74,7 +74,6 @@
         self.cold_time, self.cold_share = start.cold_time, start.cold_share
         self.cold_window = max(start.cold_window, TICK)
         self.top_revenue = max((lane.revenue for lane in start.lanes), default=1.0) or 1.0
-        self.mean_goal = sum(lane.goal_time for lane in start.lanes) / max(len(start.lanes), 1)
         self.lane_work = {lane.number: lane.goal_time / 6 for lane in start.lanes}
         self.first_cap = release.caps[0] if release.caps else 0.0
         self.sent_window, self.taken_window = release.window + 2 * start.step, release.window - 2 * start.step
@@ -168,7 +167,7 @@
             self.lane_work[number] += 0.01 * (lookup.work - self.lane_work[number])
         # Guards against queues, whatever fills them: a usual lookup of this lane should take under two
         # fifths of its goal time. It could hold back a slow but idle machine; the floor leaves it some.
-        if end == REJECTED or member.slowness * self.mean_work > self.mean_goal / 2.5:
+        if end == REJECTED or member.slowness * self.lane_work[number] > lookup.lane.goal_time / 2.5:
             if now - member.cut_at > 200 * MS:
                 member.cut_at, member.limit = now, max(member.limit * 0.8, 1.0)
         elif end == SUCCEEDED and 2 * (len(member.out) + 1) >= member.limit:
