--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -169,7 +169,7 @@
         # fifths of its goal time. It could hold back a slow but idle machine; the floor leaves it some.
         if end == REJECTED or member.slowness * self.lane_work[number] > lookup.lane.goal_time / 2.5:
             if now - member.cut_at > 200 * MS:
-                member.cut_at, member.limit = now, max(member.limit * 0.9, 1.0)
+                member.cut_at, member.limit = now, max(member.limit * 0.8, 1.0)
         elif end == SUCCEEDED and 2 * (len(member.out) + 1) >= member.limit:
             member.limit += 0.25 / member.limit
         member.build.answers += end == SUCCEEDED
