--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -318,7 +318,8 @@
 
     def usable(self, member, lookup, now):
         """Health, as far as this balancer's own sends show it; silent is where nothing at all is heard."""
-        if member.held() >= member.limit * self.mean_work or now < member.shunned_until:
+        most = member.limit * self.mean_work
+        if member.held() + lookup.work / 2 > most and member.out or now < member.shunned_until:
             return False
         effect, build = lookup.lane.effect, member.build
         if build.bad and (effect != HARMLESS or self.share < 0.5):
