--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -318,8 +318,7 @@
 
     def usable(self, member, lookup, now):
         """Health, as far as this balancer's own sends show it; silent is where nothing at all is heard."""
-        most = member.limit * self.mean_work
-        if member.held() + lookup.work / 2 > most and member.out or now < member.shunned_until:
+        if member.held() >= member.limit * self.mean_work or now < member.shunned_until:
             return False
         effect, build = lookup.lane.effect, member.build
         if build.bad and (effect != HARMLESS or self.share < 0.5):
@@ -448,12 +447,11 @@
         After the release only errors are compared, with none."""
         fit = [m for m in self.members.values() if m.service and (not self.like or m.kind in self.like)]
         services = [[m.service for m in fit if (m.build is build) is on] for on in (False, True)]
+        # A queue at few machines is not the build's: where told, longer answers want longer service.
+        alike = all(services) and median(services[1]) <= median(services[0]) * (1 + SERVICE_TOLERANCE)
         figures = {(-1, "errors"): (errors(off), errors(on))}
-        # Limits and queues change answers: where service times are told, they are what is judged.
-        if all(services):
-            figures[-1, "service"] = tuple(median(side) for side in services)
-        elif off:
-            figures[-1, "p50"] = (middle(off), middle(on))
+        if off:
+            figures[-1, "p50"] = (middle(off), middle(off if alike else on))
         for (which, lane), side in self.pair.items():
             if which and len(side) >= 2:
                 figures[lane, "errors"] = (errors(self.pair.get((False, lane))), errors(side))
@@ -478,7 +476,7 @@
             earlier, ours = (median(pair[key][side] for pair in pairs) for side in (0, 1))
             floor = max(abs(pair[key][0] - earlier) for pair in pairs)
             timed = key[1] != "errors"
-            share = TOLERANCE if key[1] == "p50" else SERVICE_TOLERANCE
+            share = SERVICE_TOLERANCE if key == STRAIN else TOLERANCE
             bound = max(share * earlier if timed else ERROR_TOLERANCE, floor)
             breached = sum(pair[key][1] - pair[key][0] > bound for pair in pairs)
             if ours - earlier > bound:
