--- a/lemonlead/wirehost/host.py
+++ b/lemonlead/wirehost/host.py
@@ -147,7 +147,7 @@
     def work_item(self, seat, id, lane, customer, key, left, hint, flags):
         if lane not in seat.lanes:
             raise BadFrame(f"gateway {seat.number}: a lookup of the unknown lane {lane}")
-        work = _ns(hint) if flags & 1 else 0
+        work = max(_ns(hint), 0) if flags & 1 else 0
         lookup = at_door.Lookup(
             id, seat.lanes[lane], customer, key, self.now, self.now + _ns(left), work, bool(flags & 2)
         )
