--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -19,7 +19,7 @@
 
 MS = 1_000_000
 TICK = 100 * MS  # how often builds are judged and rates are aged
-PAIRS = 4  # pairs in view, and pairs that a stage holds
+PAIRS = 4  # pairs in view, and calm windows that strain needs
 PAIR, PAIR_OUTCOMES = 1000 * MS, 8  # a pair stays open for so long, and until each build has as many
 WARM_UP = 1000 * MS  # pairs start once each machine on trial has run for this long
 TOLERANCE, SERVICE_TOLERANCE, ERROR_TOLERANCE = 1.0, 0.5, 0.02  # a breach is worse by more than this
--- a/lemonlead/wirehost/host.py
+++ b/lemonlead/wirehost/host.py
@@ -66,7 +66,7 @@
         while self.balancer.decide(now, self):
             pass
         wake = self.balancer.wake_at()
-        if wake is not None and (self.armed is None or wake < self.armed):
+        if self.armed is None or wake < self.armed:
             self.armed = wake
             self.reply.add("sleep", self.number, min(max(wake - now, 0), _LONGEST_SLEEP) / NS, 0)
 
@@ -173,7 +173,9 @@
             seat.balancer.lookup_left(self.now, lookup)
 
     def wakeup(self, seat, token):
-        seat.armed = None
+        # An older timer, overtaken by a nearer one, must not arm another. The wire's clock is rounded.
+        if seat.armed is not None and seat.armed - self.now < NS:
+            seat.armed = None
 
     def health(self, seat, *found):
         pass  # no balancer asks for a probe
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -60,6 +60,15 @@
     assert done.returncode == 1 and done.stderr.count(b"\n") == 1 and b"Traceback" not in done.stderr
 
 
+def test_an_overtaken_timer_does_not_arm_another():
+    record, tail = up({})
+    host = Host()
+    host.reply_to(read_frame(io.BytesIO(batch([record], tail))))
+    armed = host.seats[3].armed
+    woken = host.reply_to(read_frame(io.BytesIO(batch([event(7, 3, 0)]))))
+    assert host.seats[3].armed == armed and woken == bytes.fromhex("01000000 04000000 00000000")
+
+
 def test_the_end_of_input_is_a_clean_exit():
     done = subprocess.run([sys.executable, "-m", "lemonlead.wirehost"], input=b"", capture_output=True)
     assert (done.returncode, done.stdout, done.stderr) == (0, b"", b"")
