A pair closes on the trial's outcomes only; the fault on an empty side is gone

Cause: a pair closed when every listed machine ran one build, whichever; with only earlier machines listed the trial's side was empty and its median a fault. After a release one hardly used earlier machine kept the pair open for ever; now the release alone decides.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -425,10 +425,10 @@
                 self.pair_at, self.pair = now, {}
         elif now - self.pair_at >= PAIR:
             on, off = self.pooled(True), self.pooled(False)
-            alone = len({member.build for member in self.members.values()}) == 1
             if self.trial is None and len(on + off) >= PAIR_OUTCOMES:
                 self.calm.append((self.strain(), middle(on + off)))
-            if max(len(on), len(off)) >= PAIR_OUTCOMES and (alone or min(len(on), len(off)) >= PAIR_OUTCOMES):
+            alone = build is None or build.phase == RELEASED  # an earlier one may stay listed, hardly used
+            if len(on if build else off) >= PAIR_OUTCOMES and (alone or len(off) >= PAIR_OUTCOMES):
                 if build is not None:
                     self.close_pair(build, on, off)
                 self.pair_at, self.pair = now, {}
@@ -450,12 +450,12 @@
         # A queue at few machines is not the build's: where told, longer answers want longer service.
         alike = all(services) and median(services[1]) <= median(services[0]) * (1 + SERVICE_TOLERANCE)
         figures = {(-1, "errors"): (errors(off), errors(on))}
-        if off:
+        if len(off) >= PAIR_OUTCOMES:
             figures[-1, "p50"] = (middle(off), middle(off if alike else on))
         for (which, lane), side in self.pair.items():
             if which and len(side) >= 2:
                 figures[lane, "errors"] = (errors(self.pair.get((False, lane))), errors(side))
-        if len(self.calm) >= PAIRS and off:
+        if len(self.calm) >= PAIRS and len(off) >= PAIR_OUTCOMES:
             usual = [median(each) for each in zip(*self.calm, strict=True)]
             floor = max(min(calm[0] / usual[0], calm[1] / usual[1]) for calm in self.calm) - 1
             figures[STRAIN] = (1 + floor, min(self.strain() / usual[0], middle(off) / usual[1]))
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -331,3 +331,11 @@
         member.answered, member.failed = 20, failed
     seen = [(1.0, n % 4 == 0, members[0 if n % 4 == 0 else 1 + n % 2]) for n in range(24)]
     assert errors(seen) == share
+
+
+def test_a_trial_without_machines_closes_no_pair():
+    """Guards against the fault of a pair whose trial side is empty, as when its machines are gone again."""
+    made = balancer([line(1), line(2)], told=(2, 0, at.ON_TRIAL, 0.1))
+    made.pair_at, made.pair = NOW, {(False, 0): outcomes()}
+    made.tick(NOW + 2 * SECOND)
+    assert not made.judged.pairs
