--- /dev/null
+++ b/lemonlead/records.py
@@ -0,0 +1,46 @@
+"""What a balancer (`lemonlead/balance.py`) keeps of instances and builds: plain records, no decision."""
+
+from collections import deque
+
+from .interface import ON_TRIAL
+
+
+class Group:
+    """Instances of one zone and kind: stands in for those not heard from of late."""
+
+    def __init__(self):
+        self.slowness = 0.0
+
+
+class Member:
+    """All that is known of one instance: its line on the list, and what its sends have shown."""
+
+    def __init__(self, line, build, group, now, limit, cold_at):
+        self.id, self.zone, self.kind, self.cell = line.id, line.zone, line.kind, line.cell
+        self.build, self.group, self.started = build, group, line.started
+        self.ready = True
+        self.out = {}  # sends out, the oldest first
+        self.held = 0  # their work
+        self.heard_at = now  # its last answer, or the first send after it stood idle
+        self.slowness = 0.0  # time to answer by work, smoothed; 0: not yet known
+        self.limit, self.cut_at = limit, 0  # usual lookups that it may hold of this balancer; when last cut
+        self.service = self.usual = 0.0  # its reported service time of late, and while no build is on trial
+        self.failed, self.answered = 0, 0  # errors, answers
+        self.strikes, self.shunned_until = 0, 0  # failures of the path since its last answer
+        self.cold_at = cold_at  # while it is cold: at how much work taken in all it may be sent the next
+
+
+class Build:
+    """One build: what was told of it, what it was sent, and how it compares."""
+
+    def __init__(self, number, cap, pairs, outcomes):
+        self.number, self.cap = number, cap
+        self.stage, self.phase = -1, ON_TRIAL  # no stage has been told
+        self.sent = {}  # times of its sends within the window, by lane where the cap counts so
+        self.keys = set()  # keys that it has answered, kept where they bind
+        self.credit = 0.0  # sends that it is due by its machines' share
+        self.began, self.tried = 0, False  # when its stage began; seen on trial, so there is an earlier build
+        self.pairs = deque(maxlen=pairs)  # pairs in view: what was compared, by (lane, metric)
+        self.seen = deque(maxlen=outcomes)  # its outcomes in closed pairs, the last of them
+        self.answers, self.flags = 0, 0  # all it gave, and those that clients found wrong
+        self.doubt = self.bad = False  # the pairs' medians breach; it is voted back
