--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -360,7 +360,7 @@
     assert made.judged.bad is bad and made.judged.doubt
 
 
-@pytest.mark.parametrize("worse, count, usual, most", [(0, 0, 0.1, 0.0), (1, 9, 0.5, 1.0), (3, 3, 0.1, 0.001)])
+@pytest.mark.parametrize("worse, count, usual, most", [(0, 0, 0.1, 0), (1, 9, 0.5, 1), (3, 3, 0.1, 0.001)])
 def test_chance_bounds_the_tail(worse, count, usual, most):
     assert chance([(worse, count, usual)]) == pytest.approx(most)
 
