Heavy lookups are not begun twice; cold machines get a share that hundreds can keep to

Cause 1: every send out for half its goal time was copied or withdrawn and sent again, so heavy lookups were worked twice, and with little traffic "nothing heard since" is always true. Overdue is now also past thrice what the lookup's work usually takes. Its due now counts from when it is listed, at random over the whole fleet's share, grows with warmth and with the work a balancer lets in, and stays below the told multiple.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -20,8 +20,7 @@
 from .odds import chance
 from .records import Build, Group, Member
 
-MS = 1_000_000
-TICK = 100 * MS  # how often builds are judged
+MS, TICK = 1_000_000, 100_000_000  # a tick: how often builds are judged
 PAIRS, SEEN = 4, 200  # pairs in view, and calm windows that strain needs; a build's last outcomes kept
 PAIR, PAIR_OUTCOMES = 1000 * MS, 8  # a pair stays open for so long, and until each build has as many
 WARM_UP = 1000 * MS  # pairs start once each machine on trial has run for this long
@@ -42,9 +41,10 @@
         self.may_duplicate, self.may_withdraw = start.may_duplicate, start.may_withdraw
         self.sends_cap, self.hold_off_cap = start.sends_cap, start.hold_off_cap
         self.resend_margin = start.connect_time + 2 * start.step
-        self.cold_time, self.cold_share = start.cold_time, start.cold_share
+        self.cold_time, self.cold_share = start.cold_time, max(start.cold_share, 0.01)
+        # A cold machine's part of its share: room below the told multiple for bursts and luck.
+        self.cold_room = max(1 - 1 / max(start.cold_multiple, 0.1), 0.1)
         self.mean_revenue = sum(lane.revenue for lane in start.lanes) / max(len(start.lanes), 1) or 1.0
-        self.top_revenue = max((lane.revenue for lane in start.lanes), default=1.0) or 1.0
         self.lane_work = {lane.number: lane.goal_time / USUAL for lane in start.lanes}
         # The share of a machine's load that others send unseen, past a lookup of each in a goal time.
         self.blind = max(0.0, 1 - USUAL / balancers)
@@ -63,7 +63,7 @@
         self.told = self.trial = self.judged = None
         self.like = set()  # kinds of machine that run it and the earlier build, where there are any
         self.share = 0.0  # of the load that is due to the machines on trial
-        self.taken, self.work_taken = {}, 0  # as a build's `sent`: arrivals of lookups; their work in all
+        self.taken, self.work_in = {}, 0  # as a build's `sent`: arrivals of lookups; the work let in
         self.mean_work = sum(self.lane_work.values()) / max(len(self.lane_work), 1)  # of a lookup taken
         # Time to answer by goal time, smoothed, of what does not wait by itself; what RESCUES left over.
         self.pace, self.rescues = 0.0, 5.0
@@ -88,8 +88,8 @@
                 build = self.builds.setdefault(line.build, Build(line.build, self.first_cap, PAIRS, SEEN))
                 group = self.groups.setdefault((line.zone, line.kind), Group())
                 # Balancers start at random within their share, so that a cold one is not met by all at once.
-                cold_at = self.work_taken + self.rng.random() * self.mean_work * max(len(named), 1)
-                self.members[line.id] = Member(line, build, group, now, 3.0, cold_at)
+                cold_due = self.rng.random() * self.mean_work * max(len(self.members), len(lines))
+                self.members[line.id] = Member(line, build, group, now, 3.0, self.work_in, cold_due)
             self.members[line.id].ready = line.state == READY
         for member in self.members.values():
             member.ready = member.ready and (not whole or member.id in named)
@@ -103,11 +103,10 @@
     def lookup_arrived(self, now, lookup):
         lookup.work = lookup.work or int(self.lane_work[lookup.lane.number])
         self.taken.setdefault(self.count_of(lookup), deque()).append(now)
-        self.work_taken += lookup.work
         self.mean_work += 0.01 * (lookup.work - self.mean_work)
         self.rescues = min(self.rescues + RESCUES, 20.0)
         if self.trial is not None and not self.trial.bad:
-            self.trial.credit = min(self.trial.credit + self.share, 3.0)
+            self.trial.credit = min(self.trial.credit + self.share, 2.0)
         self.due.append(lookup)
 
     def lookup_left(self, now, lookup):
@@ -210,7 +209,6 @@
         return False
 
     def settle(self, lookup, now, door):
-        """What becomes of one lookup now; True when something was decided."""
         out = [send for send in lookup.sends if not send.end]
         if out and now < lookup.hard_stop:
             return self.rescue(lookup, out, now, door)
@@ -218,9 +216,10 @@
         spent = self.rescues < 1 and any(send.end == REJECTED for send in lookup.sends[-1:])
         if spent or now == lookup.arrived and self.sheds(lookup, now) or now >= lookup.hard_stop:
             return self.give_up(lookup, door)
+        self.work_in += lookup.work if now == lookup.arrived else 0
         if (member := self.choose(lookup, now)) is not None:
             return self.send(lookup, member, now, door)
-        wait = int(lookup.lane.goal_time * lookup.lane.revenue / self.top_revenue / 8)
+        wait = int(lookup.lane.goal_time / 8 * min(lookup.lane.revenue / self.mean_revenue, 1.0))
         if now >= lookup.arrived + wait or len(lookup.sends) >= self.sends_cap:
             return self.give_up(lookup, door)
         self.wake(min(lookup.arrived + wait, lookup.hard_stop, now + TICK // 4), lookup)
@@ -230,38 +229,40 @@
         self.rescues -= any(send.end == REJECTED for send in lookup.sends[-1:])
         send = Send(lookup, len(lookup.sends), member, now)
         lookup.sends.append(send)
-        if not member.out:
-            member.heard_at = max(member.heard_at, now)
+        member.heard_at = member.heard_at if member.out else now
         member.out[send] = None
         member.held += lookup.work
         if self.on_trial(member.build):
             member.build.sent.setdefault(self.count_of(lookup), deque()).append(now)
             member.build.credit = max(member.build.credit - 1.0, -3.0)
-        if (warmth := self.warmth(member, now)) < 1:
-            member.cold_at = max(member.cold_at, self.work_taken) + lookup.work * len(self.members) / warmth
+        member.cold_from, member.cold_due = self.work_in, lookup.work * len(self.members)
         door.send(lookup, member.id, lookup.hard_stop - now)
         self.wake(lookup.hard_stop, lookup)
         if lookup.lane.effect != ONE_SHOT:
-            self.wake(now + lookup.lane.goal_time // 2, lookup)
+            self.wake(self.overdue_at(send), lookup)
         return True
 
     def rescue(self, lookup, out, now, door):
-        """What is out for half its goal time is sent elsewhere where its lane allows. Guards against machines
-        that are silent, stalled or jammed; in a jam of all, the budget bounds it."""
+        """What is overdue is sent elsewhere where its lane allows. Guards against machines that are silent,
+        stalled or jammed; in a jam of all, the budget bounds it."""
         last = out[-1]
-        early = now < last.at + lookup.lane.goal_time // 2
-        if len(out) > 1 or early or self.rescues < 1 or self.waits(lookup):
+        if len(out) > 1 or now < self.overdue_at(last) or self.rescues < 1 or self.waits(lookup):
             return False
         if self.may_duplicate and (member := self.choose(lookup, now)) is not None:
             self.rescues -= 1
             return self.send(lookup, member, now, door)
-        again = self.may_withdraw and not self.may_duplicate and lookup.lane.effect == HARMLESS
-        if not again or last.instance.heard_at > last.at:
+        barred = self.may_duplicate or not self.may_withdraw or lookup.lane.effect != HARMLESS
+        if barred or last.instance.heard_at > last.at:
             return False
         self.rescues -= 1
         door.withdraw(last)
         return True
 
+    def overdue_at(self, send):
+        """Past half the goal time and thrice what its work takes: a heavy lookup is not begun twice."""
+        usual = (send.instance.group.slowness or 1.0) * send.lookup.work
+        return send.at + max(send.lookup.lane.goal_time // 2, int(3 * usual))
+
     def give_up(self, lookup, door):
         lookup.over, lane = True, lookup.lane
         ran = any(send.end not in NEVER_RAN for send in lookup.sends)
@@ -314,12 +315,10 @@
         return slowness * (lookup.work + member.held) * across * chance / self.warmth(member, now)
 
     def usable(self, member, lookup, now):
-        """Health, as far as this balancer's own sends show it; silent is where nothing at all is heard."""
         if member.held >= member.limit * self.mean_work or now < member.shunned_until:
             return False
-        effect = lookup.lane.effect
-        spoilt = member.build.bad and (effect != HARMLESS or self.share < 0.5)
-        if spoilt or member.strikes and (member.out or effect == ONE_SHOT):
+        spoilt = member.build.bad and (lookup.lane.effect != HARMLESS or self.share < 0.5)
+        if spoilt or member.strikes and (member.out or lookup.lane.effect == ONE_SHOT):
             return False
         quiet = now - member.heard_at if member.out else 0
         return quiet <= max(4 * (member.group.slowness or 2.0) * self.lane_work[lookup.lane.number], 300 * MS)
@@ -338,7 +337,8 @@
             same = group == "all" or all(getattr(s.instance, group) == getattr(member, group) for s in ran)
             if not same or now - ran[0].at >= lane.memory - self.resend_margin:
                 return False
-        if self.warmth(member, now) < 1 and self.work_taken < member.cold_at:
+        able = self.able(member, now)
+        if able < 1 and (self.work_in - member.cold_from) * able < member.cold_due:
             return False
         if self.told is not None and member.build.number < self.told.number and lookup.key in self.told.keys:
             return self.told.phase not in (ON_TRIAL, RELEASED)  # keys are kept only where they bind
@@ -359,10 +359,14 @@
 
     def warmth(self, member, now):
         """The share of its capacity that an instance is sure to have; 1 when it is warm."""
-        age = now - member.started
-        if not member.started or age >= self.cold_time:
-            return 1.0
-        return self.cold_share + (1 - self.cold_share) * max(age, 0) / self.cold_time
+        age = now - member.started if member.started else self.cold_time
+        return min(self.cold_share + (1 - self.cold_share) * max(age, 0) / max(self.cold_time, 1), 1.0)
+
+    def able(self, member, now):
+        """The part of a warm machine's share that it may be sent. Each balancer keeps to it by what it lets
+        in itself, so that their sum does. Lookups far above their hint could spend the room left."""
+        warmth = self.warmth(member, now)
+        return warmth * self.cold_room if warmth < 1 else 1.0
 
     def on_trial(self, build):
         if self.told is None:
@@ -382,8 +386,8 @@
         numbers = sorted({member.build.number for member in self.members.values()})
         trial = self.builds[numbers[-1]] if numbers else None
         trial = trial if trial and (self.on_trial(trial) if self.told else len(numbers) > 1) else None
-        told = self.told
-        judged = told if told and told.tried and told.phase in (ON_TRIAL, RELEASED) else None
+        movable = self.told and self.told.tried and self.told.phase in (ON_TRIAL, RELEASED)
+        judged = self.told if movable else None
         if trial is not self.trial or judged is not self.judged:
             if trial is not None and trial is not self.trial:
                 trial.credit = self.rng.random()  # small shares of little traffic add up over balancers
@@ -401,9 +405,9 @@
     def tick(self, now):
         self.next_tick = now + TICK
         if self.trial is not None:
-            # For like load: machines on trial are due as much as earlier ones, by the speed of their group.
-            speed = [(m.build is self.trial, 1 / (m.group.slowness or 1.0)) for m in self.members.values()]
-            self.share = sum(rate for on, rate in speed if on) / sum(rate for _, rate in speed)
+            # For like load: machines on trial are due as much as earlier ones, by what they can do.
+            able = [(m, self.able(m, now) / (m.group.slowness or 1.0)) for m in self.members.values()]
+            self.share = sum(can for m, can in able if m.build is self.trial) / sum(can for _, can in able)
         build = self.judged
         if self.pair_at is None:
             starts = [member.started for member in self.members.values() if build in (None, member.build)]
@@ -422,11 +426,6 @@
             elif build is not None and not build.pairs and on:
                 self.judge(build, [self.compared(build, on, off)])
 
-    def strain(self):
-        """Reported service time by that before it; the lower quartile, as other programs slow but some."""
-        ratios = [m.service / m.usual for m in self.members.values() if m.usual and m.build is not self.trial]
-        return sorted(ratios)[len(ratios) // 4] if 2 * len(ratios) >= len(self.members) > 2 else 1.0
-
     def pooled(self, on):
         return [outcome for (which, _), side in self.pair.items() if which is on for outcome in side]
 
@@ -446,8 +445,12 @@
         for (which, lane), side in self.pair.items():
             if which:
                 figures[lane, "errors"] = erring(side, self.pair.get((False, lane), ()))
-        if self.calm_time and len(off) >= PAIR_OUTCOMES:
-            figures[STRAIN] = (1.0, min(self.strain(), middle(off) / self.calm_time), 0, 0, 1.0)
+        # Service time by that before the trial; the lower quartile, as other programs slow but some.
+        earlier = [m for m in self.members.values() if m.usual and m.build is not build]
+        strains = sorted(m.service / m.usual for m in earlier)
+        if self.calm_time and len(off) >= PAIR_OUTCOMES and 2 * len(strains) >= len(self.members) > 2:
+            strain = min(strains[len(strains) // 4], middle(off) / self.calm_time)
+            figures[STRAIN] = (1.0, strain, 0, 0, 1.0)
         return figures
 
     def judge(self, build, pairs):
@@ -475,8 +478,7 @@
                     self.condemn(build, f"{breached} of {len(seen)} pairs breach, {why}")
 
     def condemn(self, build, why):
-        if not build.bad:
-            self.notes.append(f"build {build.number} bad: {why}")
+        self.notes.extend([] if build.bad else [f"build {build.number} bad: {why}"])
         build.bad = True
 
     def verdict(self, build, now):
--- a/lemonlead/records.py
+++ b/lemonlead/records.py
@@ -15,7 +15,7 @@
 class Member:
     """All that is known of one instance: its line on the list, and what its sends have shown."""
 
-    def __init__(self, line, build, group, now, limit, cold_at):
+    def __init__(self, line, build, group, now, limit, cold_from, cold_due):
         self.id, self.zone, self.kind, self.cell = line.id, line.zone, line.kind, line.cell
         self.build, self.group, self.started = build, group, line.started
         self.ready = True
@@ -27,7 +27,8 @@
         self.service = self.usual = 0.0  # its reported service time of late, and while no build is on trial
         self.failed, self.answered = 0, 0  # errors, answers
         self.strikes, self.shunned_until = 0, 0  # failures of the path since its last answer
-        self.cold_at = cold_at  # while it is cold: at how much work taken in all it may be sent the next
+        # While it is cold: work sent in all when it last got some, and its due of that until the next.
+        self.cold_from, self.cold_due = cold_from, cold_due
 
 
 class Build:
