CPU: a choice draws 24, votes and pairs are looked at once a tick or on news

Now a choice ranks 24 drawn of the build that is due (all only if none is fit), the trial's share is reckoned when a lookup comes, quartiles when a time is added, pairs on news.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -29,6 +29,7 @@
 LOOKS, FLAGS = 8, 3  # looks at thin evidence a trial; wrong answers that send back, at twice the usual rate
 EASY = 0.55  # the share of its goal time that a lookup may take on average before some are pushed back
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
+DRAWN = 24  # instances drawn for a choice: its cost hardly grows with the fleet; all are asked if none is fit
 STALE, WAITS = 5000 * MS, 8  # what is so old counts half; outcomes that show a lane or customer to wait
 STRAIN = (-1, "strain")  # the pair's figure of the earlier build by what it was before the trial
 
@@ -56,8 +57,7 @@
         self.vote_life, self.stage_time = release.vote_life, release.bake + 2 * WARM_UP  # none ends sooner
         # How often one balancer may be wrong, so that as many as send a build back are so by rare luck only.
         self.chance = max(sqrt(max(release.back_needed, 1)) - 1.3, 0.07) ** 2 / balancers / LOOKS
-        gap = int(balancers / max(release.votes_per_s, 0.1) * 1e9)
-        self.vote_wait = release.answer_time + max(gap, start.step)
+        self.vote_wait = release.answer_time + start.step + int(balancers * 1e9 / max(release.votes_per_s, 0.1))
         self.members, self.builds, self.groups = {}, {}, {}  # by id, by number, by zone and kind
         # The build of the last news; the one on trial that has machines; the one that votes can still move.
         self.told = self.trial = self.judged = None
@@ -67,12 +67,13 @@
         self.mean_work = sum(self.lane_work.values()) / max(len(self.lane_work), 1)  # of a lookup taken
         # Time to answer by goal time, smoothed, of what does not wait by itself; what RESCUES left over.
         self.pace, self.rescues = 0.0, 5.0
-        self.times = {}  # of each lane and each customer: the last times to answer by goal time
+        self.times, self.lows = {}, {}  # of each lane and customer: last times by goal time; lower quartile
         self.tested = {}  # of those that wait at every machine: when one was last let through
         self.due, self.notes = deque(), deque()  # lookups that want a decision, lines to log
         self.wakes, self.wake_count = [], 0
         self.next_tick, self.ask_at = start.now, start.now if start.ask_for_list else None
         self.pair_at, self.pair = None, {}  # the pair now open: its start, its outcomes by (on trial, lane)
+        self.news = self.look = False  # an outcome came since the pair was last judged; a vote may be due
         self.calm_time = 0.0  # the median time of the last pair with no build on trial
         # The vote that stands: when it is due again; until when another waits for its answer.
         self.vote_out, self.vote_at, self.vote_busy = None, start.now, start.now
@@ -91,9 +92,7 @@
                 cold_due = self.rng.random() * self.mean_work * max(len(self.members), len(lines))
                 self.members[line.id] = Member(line, build, group, now, 3.0, self.work_in, cold_due)
             self.members[line.id].ready = line.state == READY
-        for member in self.members.values():
-            member.ready = member.ready and (not whole or member.id in named)
-        self.members = {id: member for id, member in self.members.items() if member.ready}
+        self.members = {id: m for id, m in self.members.items() if m.ready and (not whole or id in named)}
         self.ask_at = None if fresh else self.ask_at
         self.see_trial()
 
@@ -105,7 +104,10 @@
         self.taken.setdefault(self.count_of(lookup), deque()).append(now)
         self.mean_work += 0.01 * (lookup.work - self.mean_work)
         self.rescues = min(self.rescues + RESCUES, 20.0)
-        if self.trial is not None and not self.trial.bad:
+        if self.trial is not None:
+            # For like load: machines on trial are due as much as earlier ones, by what they can do.
+            able = [(m, self.able(m, now) / (m.group.slowness or 1.0)) for m in self.members.values()]
+            self.share = sum(can for m, can in able if m.build is self.trial) / sum(can for _, can in able)
             self.trial.credit = min(self.trial.credit + self.share, 2.0)
         self.due.append(lookup)
 
@@ -118,20 +120,20 @@
         if member.out.pop(send, send) is None:
             member.held -= lookup.work
         lookup.over = lookup.over or over
-        if not lookup.over:
-            self.due.append(lookup)
+        self.due.extend([] if lookup.over else [lookup])
         number, goal, waits = lookup.lane.number, max(lookup.lane.goal_time, 1), self.waits(lookup)
         slow, answered = took > goal, end in (SUCCEEDED, ERRED, REJECTED)
         if end in (SUCCEEDED, ERRED, TIMED_OUT):
             for kind in kinds_of(lookup):
-                self.times.setdefault(kind, deque(maxlen=WAITS)).append(took / goal)
+                times = self.times.setdefault(kind, deque(maxlen=WAITS))
+                times.append(took / goal)
+                self.lows[kind] = sorted(times)[WAITS // 4] if len(times) == WAITS else 0.5
         silent = member.heard_at <= send.at and end in (TIMED_OUT, WITHDRAWN)
         if answered:
             member.heard_at, member.strikes, member.shunned_until = now, 0, 0
             member.answered, member.failed = member.answered + 1, member.failed + (end == ERRED)
         elif end in (UNCONNECTED, RESET) or (silent and end == TIMED_OUT):
-            # Guards against the dead, silent or cut off: back off, doubling, then try one lookup. It could
-            # harm a machine that is only slow to connect.
+            # Guards against the dead, silent or cut off. It could harm a machine that is slow to connect.
             member.strikes += 1
             wait = min(250 * MS << min(member.strikes, 4), 3000 * MS)
             member.shunned_until = now + int(wait * self.rng.uniform(0.7, 1.0))
@@ -144,8 +146,7 @@
                 ratio = spent / max(lookup.work, 1)
                 known.slowness += rate * (ratio - known.slowness) if known.slowness else ratio
             self.lane_work[number] += 0.01 * (lookup.work - self.lane_work[number])
-        # Guards against queues, whatever fills them: a usual lookup should take under two fifths of its goal
-        # time. It could hold back a slow but idle machine; the floor leaves it some.
+        # Guards against queues, whatever fills them. It could hold back a slow but idle machine: the floor.
         if end == REJECTED or not waits and member.slowness * self.lane_work[number] > goal / 2.5:
             if now - member.cut_at > 200 * MS:
                 member.cut_at, member.limit = now, max(member.limit * 0.8, 1.0)
@@ -200,11 +201,11 @@
             self.ask_at = now + 5000 * MS  # should no answer come at all
             door.watch_list()
             return True
-        if self.cast_vote(now, door):
+        if self.look and self.cast_vote(now, door):
             return True
+        self.look = False
         while self.due:
-            lookup = self.due.popleft()
-            if not lookup.over and self.settle(lookup, now, door):
+            if not (lookup := self.due.popleft()).over and self.settle(lookup, now, door):
                 return True
         return False
 
@@ -274,18 +275,20 @@
 
     # ---- where to
 
-    def choose(self, lookup, now):
+    def choose(self, lookup, now, whole=False):
         """The instance that costs least, untried before tried, of the build that is due a send first."""
         tried = [send.instance for send in lookup.sends]
         due = self.trial is not None and self.trial.credit >= 1 and not self.trial.bad
         trial = {build for build in self.builds.values() if self.on_trial(build)}
+        pool = [m for m in self.members.values() if whole or (m.build in trial) is due]
+        pool = pool if whole or len(pool) <= DRAWN else self.rng.sample(pool, DRAWN)
         best, least = None, None
-        for member in self.members.values():
+        for member in pool:
             rank = (member in tried, (member.build in trial) is not due, self.cost(member, lookup, now))
             better = (best is None or rank < least) and self.usable(member, lookup, now)
             if better and self.may_send(lookup, member, now):
                 best, least = member, rank
-        return best
+        return best or (None if whole else self.choose(lookup, now, True))
 
     def sheds(self, lookup, now):
         """Where many share a machine, none can bound its queue: as answers take longer, each pushes back more
@@ -299,10 +302,10 @@
         return excess > 0 and self.rng.random() < excess ** (lookup.lane.revenue / self.mean_revenue)
 
     def waits(self, lookup):
-        """Whether this lane or customer waits at every machine while others do not: the lower quartile of its
-        times nears its goal time. They then tell nothing of a machine or a build."""
-        lows = {kind: sorted(times)[WAITS // 4] for kind, times in self.times.items() if len(times) == WAITS}
-        return min(lows.values(), default=1.0) < 0.4 and any(lows.get(k, 0) > 0.8 for k in kinds_of(lookup))
+        """Whether this lane or customer waits at every machine while others do not, by the lower quartile of
+        its times. They then tell nothing of a machine or a build."""
+        theirs = max(self.lows.get(kind, 0.0) for kind in kinds_of(lookup))
+        return theirs > 0.8 and min(self.lows.values()) < 0.4
 
     def cost(self, member, lookup, now):
         """Time to answer of late by what is out; what was heard long ago gives way to the group's. By chance
@@ -363,8 +366,7 @@
         return min(self.cold_share + (1 - self.cold_share) * max(age, 0) / max(self.cold_time, 1), 1.0)
 
     def able(self, member, now):
-        """The part of a warm machine's share that it may be sent. Each balancer keeps to it by what it lets
-        in itself, so that their sum does. Lookups far above their hint could spend the room left."""
+        """The part of a warm machine's share that it may be sent: each keeps to it, and so does their sum."""
         warmth = self.warmth(member, now)
         return warmth * self.cold_room if warmth < 1 else 1.0
 
@@ -392,6 +394,7 @@
             if trial is not None and trial is not self.trial:
                 trial.credit = self.rng.random()  # small shares of little traffic add up over balancers
             self.trial, self.judged, self.pair_at, self.pair = trial, judged, None, {}
+        self.look = True
         kinds = {(member.kind, member.build is judged) for member in self.members.values()}
         self.like = {kind for kind, on in kinds if (kind, not on) in kinds}
 
@@ -400,19 +403,17 @@
         # Like against like: the same kinds of machine, and no cold ones on the earlier side.
         if (not self.like or member.kind in self.like) and (on or warmth == 1):
             side = self.pair.setdefault((on, lookup.lane.number), [])
+            self.news = True
             side.append((took * warmth / max(lookup.work, 1), end == ERRED, member))
 
     def tick(self, now):
-        self.next_tick = now + TICK
-        if self.trial is not None:
-            # For like load: machines on trial are due as much as earlier ones, by what they can do.
-            able = [(m, self.able(m, now) / (m.group.slowness or 1.0)) for m in self.members.values()]
-            self.share = sum(can for m, can in able if m.build is self.trial) / sum(can for _, can in able)
+        self.next_tick, self.look = now + TICK, True
         build = self.judged
         if self.pair_at is None:
             starts = [member.started for member in self.members.values() if build in (None, member.build)]
             self.pair_at = now if starts and max(starts) + WARM_UP <= now else None
-        elif now - self.pair_at >= PAIR:
+        elif now - self.pair_at >= PAIR and self.news:
+            self.news = False
             on, off = self.pooled(True), self.pooled(False)
             alone = build is None or build.phase == RELEASED  # an earlier one may stay listed, hardly used
             if len(on if build else off) >= PAIR_OUTCOMES and (alone or len(off) >= PAIR_OUTCOMES):
@@ -445,9 +446,8 @@
         for (which, lane), side in self.pair.items():
             if which:
                 figures[lane, "errors"] = erring(side, self.pair.get((False, lane), ()))
-        # Service time by that before the trial; the lower quartile, as other programs slow but some.
-        earlier = [m for m in self.members.values() if m.usual and m.build is not build]
-        strains = sorted(m.service / m.usual for m in earlier)
+        # Service time by that before it; the lower quartile, as other programs slow but some.
+        strains = sorted(m.service / m.usual for m in fit if m.usual and m.build is not build)
         if self.calm_time and len(off) >= PAIR_OUTCOMES and 2 * len(strains) >= len(self.members) > 2:
             strain = min(strains[len(strains) // 4], middle(off) / self.calm_time)
             figures[STRAIN] = (1.0, strain, 0, 0, 1.0)
@@ -486,7 +486,7 @@
             return BACK
         if build.phase != ON_TRIAL or self.clocked:
             return HOLD if build.doubt and build.phase == ON_TRIAL else None
-        # Unjudged once a pair has stood open for two pairs' time: a list that lags must pass nothing unmet.
+        # Unjudged once a pair has stood open for two pairs' time: a lagging list must pass nothing unmet.
         unmet = not build.pairs and (self.pair_at is None or now < self.pair_at + 2 * PAIR)
         if now < build.began + self.stage_time or unmet or build.doubt:
             return None
