--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -57,7 +57,7 @@
         self.vote_life, self.stage_time = release.vote_life, release.bake + 2 * WARM_UP  # none ends sooner
         # How often one balancer may be wrong, so that as many as send a build back are so by rare luck only.
         self.chance = max(sqrt(max(release.back_needed, 1)) - 1.3, 0.07) ** 2 / balancers / LOOKS
-        self.vote_wait = release.answer_time + start.step + int(balancers * 1e9 / max(release.votes_per_s, 0.1))
+        self.vote_wait = release.answer_time + start.step + int(balancers * 1e9 / (release.votes_per_s or 1))
         self.members, self.builds, self.groups = {}, {}, {}  # by id, by number, by zone and kind
         # The build of the last news; the one on trial that has machines; the one that votes can still move.
         self.told = self.trial = self.judged = None
