--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -26,12 +26,12 @@
 WARM_UP = 1000 * MS  # pairs start once each machine on trial has run for this long
 TOLERANCE, SERVICE_TOLERANCE, ERROR_TOLERANCE = 1.0, 0.5, 0.02  # a breach is worse by more than this
 USUAL = 6  # an unhinted lookup's work goes so often into its goal time
-TOLD = -2  # in place of a lane: the platform's tallies
 LOOKS, FLAGS = 8, 3  # looks at thin evidence a trial; wrong answers that send back, at twice the usual rate
 EASY = 0.55  # the share of its goal time that a lookup may take on average before some are pushed back
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
 DRAWN = 24  # instances drawn for a choice: its cost hardly grows with the fleet; all are asked if none is fit
 STALE, WAITS = 5000 * MS, 8  # what is so old counts half; outcomes that show a lane or customer to wait
+STRAIN = (-1, "strain")  # the pair's figure of the earlier build by what it was before the trial
 
 
 class Balancer:
@@ -72,9 +72,9 @@
         self.due, self.notes = deque(), deque()  # lookups that want a decision, lines to log
         self.wakes, self.wake_count = [], 0
         self.next_tick, self.ask_at = start.now, start.now if start.ask_for_list else None
-        self.tally = [[0, 0, 0.0], [0, 0, 0.0]]  # told of the earlier builds and the judged: sends, errors, time
         self.pair_at, self.pair = None, {}  # the pair now open: its start, its outcomes by (on trial, lane)
         self.news = self.look = False  # an outcome came since the pair was last judged; a vote may be due
+        self.calm_time = 0.0  # the median time of the last pair with no build on trial
         # The vote that stands: when it is due again; until when another waits for its answer.
         self.vote_out, self.vote_at, self.vote_busy = None, start.now, start.now
 
@@ -161,23 +161,13 @@
             self.note_outcome(now, member, lookup, end, took)
         if service := report.get("svc_ms"):
             member.service += 0.3 * (service - member.service) if member.service else service
+            if self.trial is None:
+                member.usual += 0.1 * (service - member.usual) if member.usual else service
 
     def answer_wrong(self, now, instance_id):
         if (member := self.members.get(instance_id)) is not None:
             member.build.flags += 1
 
-    def tallied(self, now, number, mean, errs, count):
-        """What the platform counted of a build and lane: late, a sample, the same for all balancers. Summed
-        until both sides have enough, it makes pairs where a balancer's own traffic is too thin."""
-        side = self.tally[self.judged is not None and number == self.judged.number]
-        side[:] = side[0] + count, side[1] + errs, side[2] + mean * (count - errs)
-        if self.judged is not None and min(side[0] for side in self.tally) >= PAIR_OUTCOMES:
-            shares, times = zip(*((n and e / n, t / max(n - e, 1)) for n, e, t in self.tally), strict=True)
-            usual = shares[0] + ERROR_TOLERANCE
-            erred = (*shares, self.tally[1][1], self.tally[1][0], usual)
-            self.judged.tallies.append({(TOLD, "errors"): erred, (TOLD, "mean"): (*times, 0, 0, 1.0)})
-            self.tally, self.news = [[0, 0, 0.0], [0, 0, 0.0]], True
-
     def stage_told(self, now, number, stage, phase, cap, age):
         build = self.told = self.builds.setdefault(number, Build(number, self.first_cap, PAIRS, SEEN))
         if (build.stage, build.phase) != (stage, phase):
@@ -404,7 +394,6 @@
             if trial is not None and trial is not self.trial:
                 trial.credit = self.rng.random()  # small shares of little traffic add up over balancers
             self.trial, self.judged, self.pair_at, self.pair = trial, judged, None, {}
-            self.tally = [[0, 0, 0.0], [0, 0, 0.0]]
         self.look = True
         kinds = {(member.kind, member.build is judged) for member in self.members.values()}
         self.like = {kind for kind, on in kinds if (kind, not on) in kinds}
@@ -428,12 +417,15 @@
             on, off = self.pooled(True), self.pooled(False)
             alone = build is None or build.phase == RELEASED  # an earlier one may stay listed, hardly used
             if len(on if build else off) >= PAIR_OUTCOMES and (alone or len(off) >= PAIR_OUTCOMES):
-                if build is not None:
+                if build is None:
+                    self.calm_time = middle(off)
+                else:
                     build.pairs.append(self.compared(build, on, off))
                     build.seen.extend(on)
+                    self.judge(build, build.pairs)
                 self.pair_at, self.pair = now, {}
-            if build is not None:
-                self.judge(build, [*(build.pairs or [self.compared(build, on, off)]), *build.tallies])
+            elif build is not None and not build.pairs and on:
+                self.judge(build, [self.compared(build, on, off)])
 
     def pooled(self, on):
         return [outcome for (which, _), side in self.pair.items() if which is on for outcome in side]
@@ -454,6 +446,11 @@
         for (which, lane), side in self.pair.items():
             if which:
                 figures[lane, "errors"] = erring(side, self.pair.get((False, lane), ()))
+        # Service time by that before it; the lower quartile, as other programs slow but some.
+        strains = sorted(m.service / m.usual for m in fit if m.usual and m.build is not build)
+        if self.calm_time and len(off) >= PAIR_OUTCOMES and 2 * len(strains) >= len(self.members) > 2:
+            strain = min(strains[len(strains) // 4], middle(off) / self.calm_time)
+            figures[STRAIN] = (1.0, strain, 0, 0, 1.0)
         return figures
 
     def judge(self, build, pairs):
@@ -470,12 +467,12 @@
             earlier, ours = (median(figures[side] for figures in seen) for side in (0, 1))
             floor = max(abs(figures[0] - earlier) for figures in seen)
             timed = key[1] != "errors"
-            bound = max(TOLERANCE * earlier if timed else ERROR_TOLERANCE, floor)
+            share = SERVICE_TOLERANCE if key == STRAIN else TOLERANCE
+            bound = max(share * earlier if timed else ERROR_TOLERANCE, floor)
             breached = sum(figures[1] - figures[0] > bound for figures in seen)
             if ours - earlier > bound:
                 build.doubt = True
-                thin = key[0] != TOLD and not build.pairs
-                enough = (breached >= 2 + timed or thin) and 2 * breached > len(seen)
+                enough = (breached >= 2 + timed or not build.pairs) and 2 * breached > len(seen)
                 if enough and (luck := chance([figures[2:] for figures in seen])) <= self.chance:
                     why = f"lane {key[0]} {key[1]} {earlier:.2f} to {ours:.2f}, chance {luck:.5f}"
                     self.condemn(build, f"{breached} of {len(seen)} pairs breach, {why}")
--- a/lemonlead/records.py
+++ b/lemonlead/records.py
@@ -24,7 +24,7 @@
         self.heard_at = now  # its last answer, or the first send after it stood idle
         self.slowness = 0.0  # time to answer by work, smoothed; 0: not yet known
         self.limit, self.cut_at = limit, 0  # usual lookups that it may hold of this balancer; when last cut
-        self.service = 0.0  # its reported service time of late
+        self.service = self.usual = 0.0  # its reported service time of late, and while no build is on trial
         self.failed, self.answered = 0, 0  # errors, answers
         self.strikes, self.shunned_until = 0, 0  # failures of the path since its last answer
         # While it is cold: work sent in all when it last got some, and its due of that until the next.
@@ -42,7 +42,6 @@
         self.credit = 0.0  # sends that it is due by its machines' share
         self.began, self.tried = 0, False  # when its stage began; seen on trial, so there is an earlier build
         self.pairs = deque(maxlen=pairs)  # pairs in view: what was compared, by (lane, metric)
-        self.tallies = deque(maxlen=pairs)  # the same from the platform's tallies
         self.seen = deque(maxlen=outcomes)  # its outcomes in closed pairs, the last of them
         self.answers, self.flags = 0, 0  # all it gave, and those that clients found wrong
         self.doubt = self.bad = False  # the pairs' medians breach; it is voted back
--- a/lemonlead/wirehost/host.py
+++ b/lemonlead/wirehost/host.py
@@ -189,8 +189,8 @@
         if status == 200:
             seat.balancer.stage_told(self.now, build, stage, phase, cap, _ns(age))
 
-    def scorecard(self, seat, lane, mean, errors, count, age, build):
-        seat.balancer.tallied(self.now, build, _ns(mean), min(errors, count), count)
+    def scorecard(self, seat, *counted):
+        pass  # a balancer judges by its own outcomes
 
     def bad_answer(self, seat, instance, lane, age):
         seat.balancer.answer_wrong(self.now, instance)
