Open connections are kept to where new ones fail; what is waited for in vain counts if blind

From one in twenty sends unconnected on, a choice keeps to machines whose connection is open. Cause 2: a balancer with one send at a machine hears nothing else of it, so every time-out passed for silence and no build answered for it.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -65,14 +65,14 @@
         self.share = 0.0  # of the load that is due to the machines on trial
         self.taken, self.work_in = {}, 0  # as a build's `sent`: arrivals of lookups; the work let in
         self.mean_work = sum(self.lane_work.values()) / max(len(self.lane_work), 1)  # of a lookup taken
-        # Time to answer by goal time, smoothed, of what does not wait by itself; what RESCUES left over.
-        self.pace, self.rescues = 0.0, 5.0
+        self.pace, self.rescues = 0.0, 5.0  # time to answer by goal time, smoothed; what RESCUES left over
         self.times, self.lows = {}, {}  # of each lane and customer: last times by goal time; lower quartile
         self.tested = {}  # of those that wait at every machine: when one was last let through
         self.due, self.notes = deque(), deque()  # lookups that want a decision, lines to log
         self.wakes, self.wake_count = [], 0
         self.next_tick, self.ask_at = start.now, start.now if start.ask_for_list else None
         self.pair_at, self.pair = None, {}  # the pair now open: its start, its outcomes by (on trial, lane)
+        self.scarce, self.idle_time = 0.0, start.idle_time - start.step  # share of sends left unconnected
         self.news = self.look = False  # an outcome came since the pair was last judged; a vote may be due
         self.calm_time = 0.0  # the median time of the last pair with no build on trial
         # The vote that stands: when it is due again; until when another waits for its answer.
@@ -129,6 +129,8 @@
                 times.append(took / goal)
                 self.lows[kind] = sorted(times)[WAITS // 4] if len(times) == WAITS else 0.5
         silent = member.heard_at <= send.at and end in (TIMED_OUT, WITHDRAWN)
+        self.scarce += 0.1 * ((end == UNCONNECTED) - self.scarce)
+        member.open_until = now + self.idle_time if answered else 0  # unsure where no answer came
         if answered:
             member.heard_at, member.strikes, member.shunned_until = now, 0, 0
             member.answered, member.failed = member.answered + 1, member.failed + (end == ERRED)
@@ -138,15 +140,15 @@
             wait = min(250 * MS << min(member.strikes, 4), 3000 * MS)
             member.shunned_until = now + int(wait * self.rng.uniform(0.7, 1.0))
         if not waits and (answered or (end in (TIMED_OUT, WITHDRAWN) and slow)):
-            # Guards against machines that fail at once and so would draw all lookups: a failure is as slow as
-            # the goal time. It could idle a machine that fails one kind of lookup.
+            # Guards against machines that fail at once and so would draw all lookups. It could idle one that
+            # fails one kind of lookup.
             spent = goal if end in (ERRED, REJECTED) else took
             self.pace += 0.1 * (min(spent / goal, 2.0) - self.pace)
             for known, rate in ((member.group, 0.1), (member, 0.15)):
                 ratio = spent / max(lookup.work, 1)
                 known.slowness += rate * (ratio - known.slowness) if known.slowness else ratio
             self.lane_work[number] += 0.01 * (lookup.work - self.lane_work[number])
-        # Guards against queues, whatever fills them. It could hold back a slow but idle machine: the floor.
+        # Guards against queues, whatever fills them. The floor is for slow but idle machines.
         if end == REJECTED or not waits and member.slowness * self.lane_work[number] > goal / 2.5:
             if now - member.cut_at > 200 * MS:
                 member.cut_at, member.limit = now, max(member.limit * 0.8, 1.0)
@@ -156,7 +158,7 @@
         if end == SUCCEEDED and self.forward_only and lookup.key:
             member.build.keys.add(lookup.key)
         # Answers are the build's, and what was waited for in vain while others got theirs; the path is not.
-        theirs = end in (SUCCEEDED, ERRED) or (slow and not silent and not over)
+        theirs = end in (SUCCEEDED, ERRED) or slow and not over and (self.blind > 0.5 or not silent)
         if self.pair_at is not None and not waits and theirs:
             self.note_outcome(now, member, lookup, end, took)
         if service := report.get("svc_ms"):
@@ -244,8 +246,7 @@
         return True
 
     def rescue(self, lookup, out, now, door):
-        """What is overdue is sent elsewhere where its lane allows. Guards against machines that are silent,
-        stalled or jammed; in a jam of all, the budget bounds it."""
+        """Guards against machines that are silent, stalled or jammed; in a jam of all the budget binds."""
         last = out[-1]
         if len(out) > 1 or now < self.overdue_at(last) or self.rescues < 1 or self.waits(lookup):
             return False
@@ -281,8 +282,11 @@
         due = self.trial is not None and self.trial.credit >= 1 and not self.trial.bad
         trial = {build for build in self.builds.values() if self.on_trial(build)}
         pool = [m for m in self.members.values() if whole or (m.build in trial) is due]
+        if self.scarce > 0.05 and not whole:
+            # Guards against connections that are few or slow. When machines die it keeps to what answers.
+            pool = [m for m in pool if now < m.open_until] or pool
         pool = pool if whole or len(pool) <= DRAWN else self.rng.sample(pool, DRAWN)
-        best, least = None, None
+        best = least = None
         for member in pool:
             rank = (member in tried, (member.build in trial) is not due, self.cost(member, lookup, now))
             better = (best is None or rank < least) and self.usable(member, lookup, now)
@@ -302,14 +306,12 @@
         return excess > 0 and self.rng.random() < excess ** (lookup.lane.revenue / self.mean_revenue)
 
     def waits(self, lookup):
-        """Whether this lane or customer waits at every machine while others do not, by the lower quartile of
-        its times. They then tell nothing of a machine or a build."""
+        """Whether its lane or customer alone waits at all machines: this tells nothing of them or a build."""
         theirs = max(self.lows.get(kind, 0.0) for kind in kinds_of(lookup))
         return theirs > 0.8 and min(self.lows.values()) < 0.4
 
     def cost(self, member, lookup, now):
-        """Time to answer of late by what is out; what was heard long ago gives way to the group's. By chance
-        balancers do not choose alike: the blinder they are, the more they share out by speed."""
+        """Time to answer by what is out. Old figures yield to the group's; the blinder, the more by chance."""
         slowness = member.group.slowness or 1.0
         if member.slowness:
             slowness += (member.slowness - slowness) / (1 + (now - member.heard_at) / STALE)
@@ -360,13 +362,11 @@
             taken.popleft()
         return len(sent) + 1 <= self.free_sends + build.cap * len(taken)
 
-    def warmth(self, member, now):
-        """The share of its capacity that an instance is sure to have; 1 when it is warm."""
+    def warmth(self, member, now):  # the share of its capacity that it is sure to have; 1 when it is warm
         age = now - member.started if member.started else self.cold_time
         return min(self.cold_share + (1 - self.cold_share) * max(age, 0) / max(self.cold_time, 1), 1.0)
 
-    def able(self, member, now):
-        """The part of a warm machine's share that it may be sent: each keeps to it, and so does their sum."""
+    def able(self, member, now):  # the part of a warm machine's share: each keeps to it, so their sum does
         warmth = self.warmth(member, now)
         return warmth * self.cold_room if warmth < 1 else 1.0
 
--- a/lemonlead/interface.py
+++ b/lemonlead/interface.py
@@ -79,6 +79,7 @@
     may_probe: bool = False
     hold_off_cap: int = 0  # the longest that a client heeds a time to come back; 0: it can be told none
     connect_time: int = 0
+    idle_time: int = 0  # an unused connection closes after this
     drain_grace: int = 0
     cold_time: int = 0
     cold_share: float = 1.0
--- a/lemonlead/records.py
+++ b/lemonlead/records.py
@@ -26,6 +26,7 @@
         self.limit, self.cut_at = limit, 0  # usual lookups that it may hold of this balancer; when last cut
         self.service = self.usual = 0.0  # its reported service time of late, and while no build is on trial
         self.failed, self.answered = 0, 0  # errors, answers
+        self.open_until = 0  # until when a connection to it stays open, as far as is told
         self.strikes, self.shunned_until = 0, 0  # failures of the path since its last answer
         # While it is cold: work sent in all when it last got some, and its due of that until the next.
         self.cold_from, self.cold_due = cold_from, cold_due
--- a/lemonlead/wirehost/host.py
+++ b/lemonlead/wirehost/host.py
@@ -229,6 +229,7 @@
         sends_cap=limits.get("AttemptsCap", 1), may_withdraw=bool(limits.get("Cancel")),
         may_duplicate=bool(limits.get("MayDuplicate")), may_probe=bool(limits.get("Probes")),
         hold_off_cap=hold_off, connect_time=_ns(limits.get("ConnectTimeout", 0)),
+        idle_time=_ns(limits.get("IdleClose", 0)),
         drain_grace=_ns(rules.get("DrainGrace", 0)), cold_time=_ns(rules.get("Cold", 0)),
         cold_share=rules.get("ColdFrom", 1.0), cold_multiple=rules.get("OverloadFactor", 1.0),
         cold_window=_ns(rules.get("Fall", 0)), report_fields=told.get("Report", {}).get("Fields", []),
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -407,3 +407,27 @@
 
 def test_idle_balancers_sleep():
     assert balancer([line(1)]).wake_at() > NOW + SECOND >= trial().wake_at()
+
+
+def test_open_connections_are_kept_to_where_new_ones_fail():
+    """Guards against squeezed or slow connections: each that fails costs a good part of the goal time."""
+    made = balancer([line(n) for n in range(9)], idle_time=9 * SECOND)
+    made.members[4].open_until, made.scarce = NOW + SECOND, 0.5
+    assert made.choose(lookup(), NOW) is made.members[4]
+    made.members[4].ready = False
+    assert made.choose(lookup(), NOW) is not made.members[4]
+
+
+@pytest.mark.parametrize("work, overdue", [(100, True), (400, False)])
+def test_a_heavy_lookup_is_not_begun_twice(work, overdue):
+    made, desk = balancer([line(1), line(2)]), Desk()
+    asked = lookup(work=work * MS)
+    made.send(asked, made.members[1], NOW, desk)
+    assert made.rescue(asked, asked.sends, NOW + 600 * MS, desk) is overdue
+
+
+def test_a_choice_among_many_looks_at_few_but_finds_the_last_one_fit():
+    made = balancer([line(n) for n in range(200)])
+    for member in made.members.values():
+        member.shunned_until = 0 if member.id == 7 else NOW + SECOND
+    assert made.choose(lookup(), NOW) is made.members[7]
