--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -311,7 +311,7 @@
         return theirs > 0.8 and min(self.lows.values()) < 0.4
 
     def cost(self, member, lookup, now):
-        """Time to answer by what is out. Old figures yield to the group's; the blinder, the more by chance."""
+        """Time to answer by what is out; old figures yield to the group's; the blinder, the more chance."""
         slowness = member.group.slowness or 1.0
         if member.slowness:
             slowness += (member.slowness - slowness) / (1 + (now - member.heard_at) / STALE)
