A find on thin evidence stands only while the evidence does

Until a first pair closes it now lasts while the open pair still breaches by more than chance, and the build goes on being tried.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -3,8 +3,7 @@
 The host makes one `Balancer` a gateway from what is told at start, and reports all that happens through the
 methods under "inputs", which only update what is known. Then it calls `decide(now, door)` until that returns
 False: each call makes one decision through the door. `wake_at()` tells when to ask again though nothing
-happened. The records and the door are in `lemonlead/interface.py`, what is kept of instances and builds in
-`lemonlead/records.py`; why it decides so, in `docs/design.md`.
+happened. The door is in `lemonlead/interface.py`, what is kept in `records.py`; why, in `docs/design.md`.
 """
 
 import heapq
@@ -457,11 +456,11 @@
         """A metric whose medians breach is a doubt; if most pairs breach too, by more than chance does in as
         many balancers as send a build back, it is bad. The floor is the earlier build's spread alone. Times
         want a breach more than errors. Where traffic is too thin for pairs, the open one is all there is."""
-        build.doubt = False
+        known, build.doubt, build.leaning = build.bad or build.leaning, False, False
         others = [other for other in self.builds.values() if other is not build]
         flags, answers = sum(other.flags for other in others), sum(other.answers for other in others)
         if build.flags >= FLAGS and build.flags * answers > 2 * flags * build.answers:
-            self.condemn(build, f"{build.flags} of {build.answers} flagged, {flags} of {answers} before")
+            self.condemn(build, f"{build.flags} of {build.answers} flagged, {flags} before", known, True)
         for key in sorted({key for pair in pairs for key in pair}):
             seen = [pair[key] for pair in pairs if key in pair]
             earlier, ours = (median(figures[side] for figures in seen) for side in (0, 1))
@@ -475,18 +474,19 @@
                 enough = (breached >= 2 + timed or not build.pairs) and 2 * breached > len(seen)
                 if enough and (luck := chance([figures[2:] for figures in seen])) <= self.chance:
                     why = f"lane {key[0]} {key[1]} {earlier:.2f} to {ours:.2f}, chance {luck:.5f}"
-                    self.condemn(build, f"{breached} of {len(seen)} pairs breach, {why}")
+                    self.condemn(build, f"{breached} of {len(seen)} pairs breach, {why}", known, build.pairs)
 
-    def condemn(self, build, why):
-        self.notes.extend([] if build.bad else [f"build {build.number} bad: {why}"])
-        build.bad = True
+    def condemn(self, build, why, known, lasting):
+        """Thin finds stand only while their evidence does: by many looks luck would add up."""
+        self.notes.extend([] if known else [f"build {build.number} bad: {why}"])
+        build.leaning, build.bad = True, build.bad or bool(lasting)
 
     def verdict(self, build, now):
-        if build.bad:
+        if build.bad or build.leaning:
             return BACK
         if build.phase != ON_TRIAL or self.clocked:
             return HOLD if build.doubt and build.phase == ON_TRIAL else None
-        # Unjudged once a pair has stood open for two pairs' time: a lagging list must pass nothing unmet.
+        # Unjudged once a pair stood open for two pairs' time; a lagging list must pass nothing unmet.
         unmet = not build.pairs and (self.pair_at is None or now < self.pair_at + 2 * PAIR)
         if now < build.began + self.stage_time or unmet or build.doubt:
             return None
--- a/lemonlead/records.py
+++ b/lemonlead/records.py
@@ -46,3 +46,4 @@
         self.seen = deque(maxlen=outcomes)  # its outcomes in closed pairs, the last of them
         self.answers, self.flags = 0, 0  # all it gave, and those that clients found wrong
         self.doubt = self.bad = False  # the pairs' medians breach; it is voted back
+        self.leaning = False  # voted back for now, on what an open pair holds; it goes on being tried
