A ratio and two medians are reckoned once; three comments say what is so

The ratio did not depend on the loop that reckoned it, and the earlier median was taken up to four times for one pair. Comments on the pairs in view, on a cold machine's due and on a lasting find spoke of an earlier text.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -20,7 +20,7 @@
 from .records import Build, Group, Member
 
 MS, TICK = 1_000_000, 100_000_000  # a tick: how often builds are judged
-PAIRS, SEEN = 4, 200  # pairs in view, and calm windows that strain needs; a build's last outcomes kept
+PAIRS, SEEN = 4, 200  # pairs in view; a build's last outcomes kept
 PAIR, PAIR_OUTCOMES = 1000 * MS, 8  # a pair stays open for so long, and until each build has as many
 WARM_UP = 1000 * MS  # pairs start once each machine on trial has run for this long
 TOLERANCE, SERVICE_TOLERANCE, ERROR_TOLERANCE = 1.0, 0.5, 0.02  # a breach is worse by more than this
@@ -143,8 +143,8 @@
             # fails one kind of lookup.
             spent = goal if end in (ERRED, REJECTED) else took
             self.pace += 0.1 * (min(spent / goal, 2.0) - self.pace)
+            ratio = spent / max(lookup.work, 1)
             for known, rate in ((member.group, 0.1), (member, 0.15)):
-                ratio = spent / max(lookup.work, 1)
                 known.slowness += rate * (ratio - known.slowness) if known.slowness else ratio
             self.lane_work[number] += 0.01 * (lookup.work - self.lane_work[number])
         # Guards against queues, whatever fills them. The floor is for slow but idle machines.
@@ -438,10 +438,10 @@
         alike = all(services) and median(services[1]) <= median(services[0]) * (1 + SERVICE_TOLERANCE)
         figures = {(-1, "errors"): erring(on, off)}
         if on and len(off) >= PAIR_OUTCOMES:
-            bound = (1 + TOLERANCE) * middle(off)
-            over = [sum(time > bound for time, _, _ in side) for side in (off, () if alike else on)]
+            earlier, ours = middle(off), middle(off if alike else on)
+            over = [sum(t > earlier * (1 + TOLERANCE) for t, *_ in o) for o in (off, () if alike else on)]
             usual = (over[0] + 1) / (len(off) + 2)
-            figures[-1, "p50"] = (middle(off), middle(off if alike else on), over[1], len(on), usual)
+            figures[-1, "p50"] = (earlier, ours, over[1], len(on), usual)
         for (which, lane), side in self.pair.items():
             if which:
                 figures[lane, "errors"] = erring(side, self.pair.get((False, lane), ()))
--- a/lemonlead/records.py
+++ b/lemonlead/records.py
@@ -28,7 +28,7 @@
         self.failed, self.answered = 0, 0  # errors, answers
         self.open_until = 0  # until when a connection to it stays open, as far as is told
         self.strikes, self.shunned_until = 0, 0  # failures of the path since its last answer
-        # While it is cold: work sent in all when it last got some, and its due of that until the next.
+        # While it is cold: the work let in when it last got some, and how much more is due until the next.
         self.cold_from, self.cold_due = cold_from, cold_due
 
 
@@ -45,5 +45,5 @@
         self.pairs = deque(maxlen=pairs)  # pairs in view: what was compared, by (lane, metric)
         self.seen = deque(maxlen=outcomes)  # its outcomes in closed pairs, the last of them
         self.answers, self.flags = 0, 0  # all it gave, and those that clients found wrong
-        self.doubt = self.bad = False  # the pairs' medians breach; it is voted back
+        self.doubt = self.bad = False  # the medians breach; it is voted back for good
         self.leaning = False  # voted back for now, on what an open pair holds; it goes on being tried
