--- /dev/null
+++ b/lemonlead/gateway/__main__.py
@@ -0,0 +1,85 @@
+"""`python -m lemonlead.gateway`: one gateway, as its environment and configuration say."""
+
+import signal
+import sys
+import threading
+import time
+
+import structlog
+
+from . import place as places
+from .clients import Gate
+from .counters import Counters
+from .desk import Desk
+from .discovery import Discovery
+from .instances import Instances
+from .releases import Releases
+
+STACK = 256 * 1024
+LINGER = 0.5  # seconds after SIGTERM in which connections still come
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
+
+
+def main():
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    threading.stack_size(STACK)
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout), cache_logger_on_first_use=True,
+    )
+    try:
+        place = places.read()
+    except places.Unfit as error:
+        print(f"lemonlead.gateway: the configuration cannot be used: {error}", file=sys.stderr)
+        return 2
+    log, counters = structlog.get_logger(gateway=place.name), Counters()
+    desk = Desk(place.start, log, counters)
+    desk.instances = Instances(place, desk, log, counters)
+    desk.discovery = discovery = Discovery(place, desk, log, counters)
+    desk.releases = releases = Releases(place, desk, log, counters)
+    try:
+        gate = Gate(place, desk, log, counters)
+        known = discovery.read(place.known)
+    except (OSError, ValueError, TypeError, KeyError, AttributeError) as error:
+        print(f"lemonlead.gateway: cannot start: {type(error).__name__}: {error}", file=sys.stderr)
+        return 2
+    with desk.lock:
+        discovery.listed(places.now(), *known, True, False)
+        if place.news is not None:
+            desk.balancer.stage_told(places.now(), *place.news)
+    gate.open()
+    threads = [gate.run, desk.keep_time, discovery.run]
+    threads += [releases.hear, releases.poll] if place.platform else []
+    for thread in threads:
+        threading.Thread(target=thread, daemon=True).start()
+    log.info("serving", listen=place.listen[0], port=place.listen[1], instances=len(known[1]))
+    while signal.sigwait(SIGNALS) == signal.SIGUSR1:
+        log.info("counters", **{name.replace(" ", "_"): n for name, n in counters.read().items()})
+    return stop(gate, desk, log, counters)
+
+
+def stop(gate, desk, log, counters):
+    """Serves what still comes, closes connections between lookups, ends what was taken."""
+    log.info("stopping", open=len(desk.asks))
+    time.sleep(LINGER)
+    gate.listener.close()
+    longest = max((lane.hard_stop for lane in gate.place.start.lanes), default=0) / 1e9
+    until = time.monotonic() + longest
+    while time.monotonic() < until:
+        with gate.lock:
+            clients = list(gate.clients)
+        for client in clients:
+            if client.idle():
+                client.end()
+        if not clients and not desk.asks:
+            break
+        time.sleep(0.02)
+    log.info("stopped", **{name.replace(" ", "_"): n for name, n in counters.read().items()})
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lemonlead/gateway/discovery.py
@@ -0,0 +1,95 @@
+"""Discovery: a thread keeps a watch on the list, and opens a new one when the balancer asks for it."""
+
+import json
+import socket
+import threading
+
+from .. import interface as at
+from . import http
+from .place import address
+
+SILENCE = 5.0  # seconds without a line after which a watch is dead; one comes every 2 s
+
+
+class Discovery:
+    def __init__(self, place, desk, log, counters):
+        self.place, self.desk, self.log, self.counters = place, desk, log, counters
+        self.wanted = threading.Event()
+        self.version = -1
+
+    def ask(self):
+        self.wanted.set()
+
+    def run(self):
+        while True:
+            self.wanted.wait()
+            self.wanted.clear()
+            try:
+                reason = self.watch()
+            except http.Malformed as error:
+                reason = f"malformed: {error}"
+            except OSError as error:
+                reason = type(error).__name__
+            except Exception as error:  # the next watch depends on this thread
+                reason = f"fault: {type(error).__name__}: {error}"
+            self.counters.add("watches ended")
+            self.log.info("watch ended", reason=reason, version=self.version)
+            self.desk.tell(self.desk.balancer.list_failed)
+
+    def watch(self):
+        host, port = self.place.discovery
+        query = f"/api/targets?stream=1&index={self.version}"
+        with socket.socket() as sock:
+            sock.settimeout(SILENCE)
+            sock.connect((host, port))
+            sock.sendall(f"GET {query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+            answer = http.Answer()
+            while True:
+                while (line := answer.next()) is http.MORE:
+                    with answer.buffer.room() as room:
+                        count = sock.recv_into(room)
+                    if not count:
+                        return "closed by discovery"
+                    answer.buffer.filled(count)
+                if answer.status != 200:
+                    return f"status {answer.status}"
+                if line is http.END:
+                    return "watch over"
+                if line:
+                    self.told(line)
+
+    def told(self, line):
+        try:
+            update = json.loads(line)
+            version, lines, addresses = self.read(update)
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            raise http.Malformed(f"no list: {type(error).__name__}: {error}") from None
+        self.desk.tell(self.listed, version, lines, addresses, bool(update.get("full")), True)
+
+    def read(self, update):
+        """The version, the lines of the list and the instances' addresses from an object of discovery's."""
+        states = {"up": at.READY, "draining": at.DRAINING, "removed": at.GONE}
+        lines, addresses = [], {}
+        for entry in update["servers"]:
+            state = states[entry["state"]]
+            lines.append(at.Instance(
+                entry["id"], self.place.zones.get(entry.get("zone"), -1),
+                self.place.kinds.get(entry.get("kind"), -1), int(entry.get("revision_no") or 0),
+                int(entry.get("cell") or 0), state, float(entry.get("weight", 1.0)),
+                int(float(entry.get("started_ms") or 0) * 1e6),
+            ))
+            addresses[entry["id"]] = address(entry["addr"]) if state == at.READY else None
+        return int(update["version"]), lines, addresses
+
+    def listed(self, now, version, lines, addresses, whole, fresh):
+        """Under the desk's lock. A version that is not newer tells nothing but that discovery answers."""
+        self.wanted.clear()
+        if version <= self.version:
+            lines, addresses, whole = [], {}, False
+        self.version = max(version, self.version)
+        for id in [id for id in self.desk.instances.pools if id not in addresses] if whole else ():
+            self.desk.instances.listed(id, None)
+        for id, where in addresses.items():
+            self.desk.instances.listed(id, where)
+        self.counters.add("lists told")
+        self.desk.balancer.listed(now, lines, whole, fresh)
--- /dev/null
+++ b/lemonlead/gateway/place.py
@@ -0,0 +1,75 @@
+"""Where a gateway runs and what it is told there: its environment and the configuration, read once."""
+
+import json
+import os
+import time
+from dataclasses import dataclass
+
+from .. import interface as at
+from ..told import started
+from . import platform
+
+EPOCH = time.time_ns() - time.monotonic_ns()  # all machines read one clock: instances' start times are on it
+
+
+def now():
+    """Nanoseconds that never go back, counted as the machines' clocks were at our start."""
+    return time.monotonic_ns() + EPOCH
+
+
+class Unfit(Exception):
+    """The configuration is missing or cannot be read."""
+
+
+@dataclass
+class Place:
+    name: str
+    listen: tuple
+    discovery: tuple
+    platform: tuple | None
+    sockets: int
+    start: at.Start
+    lanes: dict  # by the name that clients give
+    customers: dict
+    zones: dict
+    kinds: dict
+    known: dict  # the list of instances as last had
+    news: tuple | None  # the state of the newest build
+
+
+def address(text):
+    host, _, port = text.rpartition(":")
+    if not host or not 0 <= int(port) < 65536:
+        raise ValueError(f"no address: {text!r}")
+    return host, int(port)
+
+
+def numbered(names):
+    return {name: number for number, name in enumerate(names)}
+
+
+def read(environment=os.environ):
+    try:
+        with open(environment["ROUTER_CONFIG"], encoding="utf-8") as file:
+            config = json.load(file)
+        told, desk = config["settings"], config.get("release_api") or {}
+        start = started(told, int(config["seed"], 16), now())
+        start.ask_for_list = True  # on sockets the list comes to those alone that ask for it
+        news = desk.get("news")
+        names = ("release", "tranche", "mode", "exposure", "old_ms")
+        return Place(
+            name=environment.get("ROUTER_NAME") or config["name"],
+            listen=address(environment.get("ROUTER_LISTEN") or config["listen"]),
+            discovery=address(environment.get("ROUTER_DISCOVERY") or config["discovery"]),
+            platform=address(desk["address"]) if "address" in desk else None,
+            sockets=int(config.get("limits", {}).get("sockets", 1024)), start=start,
+            lanes={lane["Name"]: start.lanes[n] for n, lane in enumerate(told.get("Lanes", []))},
+            customers=numbered(customer["Name"] for customer in told.get("Projects", [])),
+            zones=numbered(told.get("Areas", [])), kinds=numbered(told.get("Skus", [])),
+            known=config.get("known") or {"version": 0, "full": True, "servers": []},
+            news=platform.stage([news[name] for name in names]) if news else None,
+        )
+    except KeyError as error:
+        raise Unfit(f"{error} is missing") from None
+    except (OSError, ValueError, TypeError, AttributeError) as error:
+        raise Unfit(str(error)) from None
--- /dev/null
+++ b/lemonlead/gateway/releases.py
@@ -0,0 +1,103 @@
+"""The platform: one thread hears its news, another casts the votes and hears what became of them."""
+
+import queue
+import random
+import socket
+import time
+
+from .. import interface as at
+from . import platform
+
+SILENCE = 3.5  # seconds without a sign of life after which news are cut off; one comes each second
+LONGEST_PAUSE = 2.0
+
+
+class Releases:
+    def __init__(self, place, desk, log, counters):
+        self.place, self.desk, self.log, self.counters = place, desk, log, counters
+        self.answer_time = place.start.release.answer_time / 1e9
+        self.votes = queue.SimpleQueue()
+        self.random = random.Random(place.start.seed)
+
+    def vote(self, *vote):
+        self.votes.put((time.monotonic() + self.answer_time, vote))
+
+    # ---- news
+
+    def hear(self):
+        failures = 0
+        while True:
+            began = time.monotonic()
+            try:
+                reason = self.listen()
+            except platform.Malformed as error:
+                reason = f"malformed: {error}"
+            except OSError as error:
+                reason = type(error).__name__
+            except Exception as error:  # news depend on this thread
+                reason = f"fault: {type(error).__name__}: {error}"
+            self.counters.add("news connections ended")
+            self.log.info("news ended", reason=reason)
+            failures = 0 if time.monotonic() - began > 2 * SILENCE else min(failures + 1, 6)
+            time.sleep(min(0.1 * 2**failures, LONGEST_PAUSE) * self.random.uniform(0.5, 1.0))
+
+    def listen(self):
+        with socket.socket() as sock:
+            sock.settimeout(SILENCE)
+            sock.connect(self.place.platform)
+            sock.sendall(b"NOTIFY\r\n")
+            reader = platform.Reader()
+            while True:
+                words = self.words(sock, reader)
+                if words is None:
+                    return "closed by platform"
+                if words[:2] == ["*", "stage"]:
+                    self.counters.add("news told")
+                    self.desk.tell(self.desk.balancer.stage_told, *platform.stage(words[2:]))
+                elif words[:1] not in (["*"], ["OK"]):
+                    return "refused: " + " ".join(words)[:100]
+
+    def words(self, sock, reader, until=None):
+        while (words := reader.next()) is None:
+            if until is not None:
+                sock.settimeout(max(until - time.monotonic(), 0.001))
+            with reader.buffer.room() as room:
+                count = sock.recv_into(room)
+            if not count:
+                return None
+            reader.buffer.filled(count)
+        return words
+
+    # ---- votes
+
+    def poll(self):
+        while True:
+            until, vote = self.votes.get()
+            try:
+                outcome, news = self.cast(until, vote)
+            except Exception as error:  # votes depend on this thread
+                self.log.error("vote failed", reason=f"fault: {type(error).__name__}: {error}")
+                outcome, news = at.UNANSWERED, None
+            self.counters.add(f"votes {outcome}")
+            build, stage, verdict = vote
+            self.log.info("vote", build=build, stage=stage, verdict=platform.VERDICTS[verdict], ended=outcome)
+            self.desk.tell(self.answered, outcome, news)
+
+    def cast(self, until, vote):
+        with socket.socket() as sock:
+            try:
+                sock.settimeout(max(until - time.monotonic(), 0.001))
+                sock.connect(self.place.platform)
+                sock.sendall(platform.ballot(*vote))
+            except OSError:
+                return at.VOTE_ERRED, None  # not carried out
+            try:
+                words = self.words(sock, platform.Reader(), until)
+                return platform.answer(words) if words is not None else (at.UNANSWERED, None)
+            except (OSError, platform.Malformed):
+                return at.UNANSWERED, None  # it may have been carried out
+
+    def answered(self, now, outcome, news):
+        self.desk.balancer.vote_answered(now, outcome)
+        if news is not None:
+            self.desk.balancer.stage_told(now, *news)
--- a/lemonlead/wirehost/host.py
+++ b/lemonlead/wirehost/host.py
@@ -5,9 +5,9 @@
 
 from .. import interface as at_door
 from ..balance import Balancer
+from ..told import in_ns, started
 from .codec import NS, ROW, BadFrame, Reply, cut
 
-_EFFECTS = {"idempotent": at_door.HARMLESS, "deduplicated": at_door.STAMPED}
 _ENDS = {
     200: at_door.SUCCEEDED, 500: at_door.ERRED, 503: at_door.REJECTED, 504: at_door.TIMED_OUT,
     502: at_door.UNCONNECTED, 598: at_door.RESET, 499: at_door.WITHDRAWN, 410: at_door.NOT_SENT,
@@ -21,10 +21,6 @@
 _LONGEST_SLEEP = 70 * 60 * 1000 * NS
 
 
-def _ns(ms):
-    return round(ms * NS) if math.isfinite(ms) else 0
-
-
 class Seat:
     """One balancer's place: the door it calls through, its open lookups and its timer."""
 
@@ -133,7 +129,7 @@
         for row in ROW.iter_unpack(cut(self.tail, offset, count * ROW.size)):
             id, zone, kind, build, cell, state, nominal, started_at = row
             build = int(build) if math.isfinite(build) else 0
-            rows.append(at_door.Instance(id, zone, kind, build, cell, state, nominal, _ns(started_at)))
+            rows.append(at_door.Instance(id, zone, kind, build, cell, state, nominal, in_ns(started_at)))
         self.lists[buffer] = rows
 
     def directory_update(self, seat, form, generation, buffer):
@@ -147,9 +143,9 @@
     def work_item(self, seat, id, lane, customer, key, left, hint, flags):
         if lane not in seat.lanes:
             raise BadFrame(f"gateway {seat.number}: a lookup of the unknown lane {lane}")
-        work = max(_ns(hint), 0) if flags & 1 else 0
+        work = max(in_ns(hint), 0) if flags & 1 else 0
         lookup = at_door.Lookup(
-            id, seat.lanes[lane], customer, key, self.now, self.now + _ns(left), work, bool(flags & 2)
+            id, seat.lanes[lane], customer, key, self.now, self.now + in_ns(left), work, bool(flags & 2)
         )
         seat.lookups[id] = lookup
         seat.balancer.lookup_arrived(self.now, lookup)
@@ -166,7 +162,7 @@
             seat.lookups.pop(id, None)
         end = _ENDS.get(code, at_door.ERRED)
         report = dict(zip(seat.fields, gauge[:count], strict=False))
-        seat.balancer.send_ended(self.now, send, end, _ns(lag), bool(ended), report)
+        seat.balancer.send_ended(self.now, send, end, in_ns(lag), bool(ended), report)
 
     def left(self, seat, id):
         if (lookup := seat.lookups.pop(id, None)) is not None:
@@ -187,51 +183,10 @@
         if answers_vote:
             seat.balancer.vote_answered(self.now, _VOTES.get(status, at_door.VOTE_ERRED))
         if status == 200:
-            seat.balancer.stage_told(self.now, build, stage, phase, cap, _ns(age))
+            seat.balancer.stage_told(self.now, build, stage, phase, cap, in_ns(age))
 
     def scorecard(self, seat, *counted):
         pass  # a balancer judges by its own outcomes
 
     def bad_answer(self, seat, instance, lane, age):
         seat.balancer.answer_wrong(self.now, instance)
-
-
-def started(told, salt, now):
-    """The settings as read, in our words; what is absent stays at the interface's default."""
-    limits, rules, info = told.get("Limits", {}), told.get("Obligations", {}), told.get("FamilyInfo", {})
-    lanes = [
-        at_door.Lane(
-            number=n, effect=_EFFECTS.get(lane.get("Effect"), at_door.ONE_SHOT),
-            goal_time=_ns(lane.get("Slo", 0)), hard_stop=_ns(lane.get("GiveUp", 0)),
-            revenue=lane.get("Worth", 1.0), late_share=lane.get("LateWorth", 0.0),
-            goal_stretch=lane.get("AimStretch", 0.0), group=lane.get("Group", "all"),
-            memory=_ns(lane.get("Window", 0)), streamed=bool(lane.get("Stream")),
-        )
-        for n, lane in enumerate(told.get("Lanes", []))
-    ]
-    release = at_door.Release(
-        control=info.get("Control", "by_count"), on_needed=info.get("AyesNeeded", 1),
-        back_needed=info.get("NoesNeeded", 1), bake=_ns(info.get("Bake", 0)),
-        vote_life=_ns(info.get("BallotTtl", 0)), answer_time=_ns(info.get("ApiTimeout", 0)),
-        votes_per_s=info.get("VoteAllowance", 0.0), window=_ns(info.get("ExposureWindow", 0)),
-        free_sends=info.get("SpareTries", 0.0), per_lane=info.get("CapScope") == "each_class",
-        guarded_stages=info.get("GuardedStages", 0), forward_only=bool(info.get("ForwardOnly")),
-        caps=info.get("StageCap", []), steps=info.get("Steps", []),
-        old_price=info.get("StaleBuildPrice", 0.0), harm_price=info.get("HarmFee", 0.0),
-        replaces=info.get("Style") == "replace",
-    )
-    hold_off = _ns(limits.get("MaxRetryAfter", 0)) if limits.get("RetryAfter") else 0
-    return at_door.Start(
-        now=now, seed=salt, me=told.get("Me", 0), balancers=told.get("Balancers", 1),
-        zone=told.get("Az", 0), step=_ns(told.get("Step", 0)), lanes=lanes, release=release,
-        customer_shares=[customer.get("QuotaPerS", 0.0) for customer in told.get("Projects", [])],
-        over_share_worth=told.get("OverShareWorth", 1.0), ask_for_list=told.get("Discovery") == "ask",
-        sends_cap=limits.get("AttemptsCap", 1), may_withdraw=bool(limits.get("Cancel")),
-        may_duplicate=bool(limits.get("MayDuplicate")), may_probe=bool(limits.get("Probes")),
-        hold_off_cap=hold_off, connect_time=_ns(limits.get("ConnectTimeout", 0)),
-        idle_time=_ns(limits.get("IdleClose", 0)),
-        drain_grace=_ns(rules.get("DrainGrace", 0)), cold_time=_ns(rules.get("Cold", 0)),
-        cold_share=rules.get("ColdFrom", 1.0), cold_multiple=rules.get("OverloadFactor", 1.0),
-        cold_window=_ns(rules.get("Fall", 0)), report_fields=told.get("Report", {}).get("Fields", []),
-        by_work=told.get("WorthBy") == "work", prices=told.get("Tariffs", {}),
-    )
