--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -112,7 +112,7 @@
                 threading.Thread(target=self.drain, daemon=True).start()
 
     def drain(self):
-        """Writes out all that is unsent, waiting for the client as long as it takes something now and then."""
+        """Writes out all that is unsent, waiting for a client that takes something now and then."""
         while True:
             with self.room:
                 data = bytes(self.unsent[:65536])
