--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -17,7 +17,7 @@
     RELEASED, RESET, STAMPED, SUCCEEDED, TIMED_OUT, UNCONNECTED, WITHDRAWN, Send,
 )
 from .odds import chance
-from .records import Build, Group, Member
+from .records import Builds, Group, Member
 
 MS, TICK = 1_000_000, 100_000_000  # a tick: how often builds are judged
 PAIRS, SEEN = 4, 200  # pairs in view; a build's last outcomes kept
@@ -48,7 +48,7 @@
         self.lane_work = {lane.number: lane.goal_time / USUAL for lane in start.lanes}
         # The share of a machine's load that others send unseen, past a lookup of each in a goal time.
         self.blind = max(0.0, 1 - USUAL / balancers)
-        self.first_cap = release.caps[0] if release.caps else 0.0
+        self.builds = Builds(release.caps[0] if release.caps else 0.0, PAIRS, SEEN)
         self.sent_window, self.taken_window = release.window + 2 * start.step, release.window - 2 * start.step
         self.free_sends, self.per_lane = release.free_sends, release.per_lane
         self.guarded_stages, self.forward_only = release.guarded_stages, release.forward_only
@@ -57,7 +57,7 @@
         # How often one balancer may be wrong, so that as many as send a build back are so by rare luck only.
         self.chance = max(sqrt(max(release.back_needed, 1)) - 1.3, 0.07) ** 2 / balancers / LOOKS
         self.vote_wait = release.answer_time + start.step + int(balancers * 1e9 / (release.votes_per_s or 1))
-        self.members, self.builds, self.groups = {}, {}, {}  # by id, by number, by zone and kind
+        self.members, self.groups = {}, {}  # by id, by zone and kind
         # The build of the last news; the one on trial that has machines; the one that votes can still move.
         self.told = self.trial = self.judged = None
         self.like = set()  # kinds of machine that run it and the earlier build, where there are any
@@ -81,16 +81,15 @@
 
     def listed(self, now, lines, whole, fresh):
         """The list, whole or its changes. It may be stale, and an id may stand for a new machine."""
-        named = {line.id for line in lines}
-        for line in lines:
-            old = self.members.get(line.id)
-            if old is None or (old.build.number, old.started) != (line.build, line.started):
-                build = self.builds.setdefault(line.build, Build(line.build, self.first_cap, PAIRS, SEEN))
-                group = self.groups.setdefault((line.zone, line.kind), Group())
+        named = {row.id for row in lines}
+        for row in lines:
+            old = self.members.get(row.id)
+            if old is None or (old.build.number, old.started) != (row.build, row.started):
+                group = self.groups.setdefault((row.zone, row.kind), Group())
                 # Balancers start at random within their share, so that a cold one is not met by all at once.
-                cold_due = self.rng.random() * self.mean_work * max(len(self.members), len(lines))
-                self.members[line.id] = Member(line, build, group, now, 3.0, self.work_in, cold_due)
-            self.members[line.id].ready = line.state == READY
+                due = self.rng.random() * self.mean_work * max(len(self.members), len(lines))
+                self.members[row.id] = Member(row, self.builds[row.build], group, now, 3.0, self.work_in, due)
+            self.members[row.id].ready = row.state == READY
         self.members = {id: m for id, m in self.members.items() if m.ready and (not whole or id in named)}
         self.ask_at = None if fresh else self.ask_at
         self.see_trial()
@@ -170,7 +169,7 @@
             member.build.flags += 1
 
     def stage_told(self, now, number, stage, phase, cap, age):
-        build = self.told = self.builds.setdefault(number, Build(number, self.first_cap, PAIRS, SEEN))
+        build = self.told = self.builds[number]
         if (build.stage, build.phase) != (stage, phase):
             build.began = now - age
         build.stage, build.phase, build.cap = stage, phase, cap
@@ -187,8 +186,7 @@
     def wake_at(self):
         """Ticks are waited for where they can change something; most balancers are idle most of the time."""
         at = self.next_tick + (0 if self.trial or self.judged else 50 * TICK)
-        at = min(at, self.ask_at or at)
-        return min(at, self.wakes[0][0]) if self.wakes else at
+        return min(at, self.ask_at or at, *(wake[0] for wake in self.wakes[:1]))
 
     def decide(self, now, door):
         if now >= self.next_tick:
@@ -319,10 +317,9 @@
         return slowness * (lookup.work + member.held) * across * chance / self.warmth(member, now)
 
     def usable(self, member, lookup, now):
-        if member.held >= member.limit * self.mean_work or now < member.shunned_until:
-            return False
+        barred = member.held >= member.limit * self.mean_work or now < member.shunned_until
         spoilt = member.build.bad and (lookup.lane.effect != HARMLESS or self.share < 0.5)
-        if spoilt or member.strikes and (member.out or lookup.lane.effect == ONE_SHOT):
+        if barred or spoilt or member.strikes and (member.out or lookup.lane.effect == ONE_SHOT):
             return False
         quiet = now - member.heard_at if member.out else 0
         return quiet <= max(4 * (member.group.slowness or 2.0) * self.lane_work[lookup.lane.number], 300 * MS)
@@ -333,22 +330,27 @@
             return False
         lane = lookup.lane
         ran = [send for send in lookup.sends if send.end not in NEVER_RAN]
-        out = any(not send.end for send in ran)
-        if out and not self.may_duplicate or ran and lane.effect == ONE_SHOT:
+        if ran and (lane.effect == ONE_SHOT or not self.may_duplicate and any(not s.end for s in ran)):
             return False
         if ran and lane.effect == STAMPED:
             group = lane.group
             same = group == "all" or all(getattr(s.instance, group) == getattr(member, group) for s in ran)
             if not same or now - ran[0].at >= lane.memory - self.resend_margin:
                 return False
-        able = self.able(member, now)
-        if able < 1 and (self.work_in - member.cold_from) * able < member.cold_due:
+        if (can := self.able(member, now)) < 1 and (self.work_in - member.cold_from) * can < member.cold_due:
             return False
         if self.told is not None and member.build.number < self.told.number and lookup.key in self.told.keys:
             return self.told.phase not in (ON_TRIAL, RELEASED)  # keys are kept only where they bind
         return not self.on_trial(member.build) or self.exposure_left(member.build, lookup, now)
 
-    def exposure_left(self, build, lookup, now):
+    def may_begin(self, now, send):
+        """Asked before the first byte of a send, by a host whose sends may wait for a connection."""
+        lookup, member = send.lookup, send.instance
+        if lookup.over or now >= lookup.hard_stop or self.members.get(member.id) is not member:
+            return False
+        return not self.on_trial(member.build) or self.exposure_left(member.build, lookup, now, 0)
+
+    def exposure_left(self, build, lookup, now, more=1):
         """The window is a little wider for sends than for lookups. A lower cap binds at once."""
         stage = build.stage if build is self.told else 0
         if build.cap <= 0 or (stage < self.guarded_stages and lookup.lane.effect != HARMLESS):
@@ -359,7 +361,7 @@
             sent.popleft()
         while taken and taken[0] <= now - self.taken_window:
             taken.popleft()
-        return len(sent) + 1 <= self.free_sends + build.cap * len(taken)
+        return len(sent) + more <= self.free_sends + build.cap * len(taken)
 
     def warmth(self, member, now):  # the share of its capacity that it is sure to have; 1 when it is warm
         age = now - member.started if member.started else self.cold_time
@@ -387,8 +389,7 @@
         numbers = sorted({member.build.number for member in self.members.values()})
         trial = self.builds[numbers[-1]] if numbers else None
         trial = trial if trial and (self.on_trial(trial) if self.told else len(numbers) > 1) else None
-        movable = self.told and self.told.tried and self.told.phase in (ON_TRIAL, RELEASED)
-        judged = self.told if movable else None
+        judged = told if (told := self.told) and told.tried and told.phase in (ON_TRIAL, RELEASED) else None
         if trial is not self.trial or judged is not self.judged:
             if trial is not None and trial is not self.trial:
                 trial.credit = self.rng.random()  # small shares of little traffic add up over balancers
--- a/lemonlead/records.py
+++ b/lemonlead/records.py
@@ -47,3 +47,13 @@
         self.answers, self.flags = 0, 0  # all it gave, and those that clients found wrong
         self.doubt = self.bad = False  # the medians breach; it is voted back for good
         self.leaning = False  # voted back for now, on what an open pair holds; it goes on being tried
+
+
+class Builds(dict):
+    """Builds by their numbers, each made when it is first named."""
+
+    def __init__(self, *rest):
+        self.rest = rest
+
+    def __missing__(self, number):
+        return self.setdefault(number, Build(number, *self.rest))
