One moment for an input and its decisions; ends, silence and bounds of connections

Observed: the module tells a new lookup by now == arrived (settle: shedding, work let in, on which the cold shares rest); the desk read the clock anew for each decision, so on sockets neither acted. Lines at fault: Desk.tell and pull, which called now() for each decide. Found by reading, no run showed it; the desk now reads one moment an input.

Also: a send is checked by the module before its first byte; connections unused since before a failure are closed, as a machine that vanished leaves them silent; a lack of descriptors or threads is 'not sent'; pauses that grow; clients' bounds; reason codes; SIGTERM closes connections between lookups only where nothing unread has come.

--- a/lemonlead/gateway/__main__.py
+++ b/lemonlead/gateway/__main__.py
@@ -57,27 +57,25 @@
         threading.Thread(target=thread, daemon=True).start()
     log.info("serving", listen=place.listen[0], port=place.listen[1], instances=len(known[1]))
     while signal.sigwait(SIGNALS) == signal.SIGUSR1:
-        log.info("counters", **{name.replace(" ", "_"): n for name, n in counters.read().items()})
-    return stop(gate, desk, log, counters)
+        log.info("counters", **figures(desk))
+    return stop(gate, desk, log)
 
 
-def stop(gate, desk, log, counters):
-    """Serves what still comes, closes connections between lookups, ends what was taken."""
+def figures(desk):
+    with desk.lock:
+        counted = {**desk.counters.read(), "open": len(desk.asks)}
+    return {name.replace(" ", "_").replace(":", ""): count for name, count in counted.items()}
+
+
+def stop(gate, desk, log):
+    """Serves what still comes, then closes connections between lookups and ends what was taken."""
     log.info("stopping", open=len(desk.asks))
     time.sleep(LINGER)
-    gate.listener.close()
-    longest = max((lane.hard_stop for lane in gate.place.start.lanes), default=0) / 1e9
-    until = time.monotonic() + longest
-    while time.monotonic() < until:
-        with gate.lock:
-            clients = list(gate.clients)
-        for client in clients:
-            if client.idle():
-                client.end()
-        if not clients and not desk.asks:
-            break
+    gate.close()
+    until = time.monotonic() + max((lane.hard_stop for lane in gate.place.start.lanes), default=0) / 1e9
+    while (gate.close_idle() or desk.asks) and time.monotonic() < until:
         time.sleep(0.02)
-    log.info("stopped", **{name.replace(" ", "_"): n for name, n in counters.read().items()})
+    log.info("stopped", **figures(desk))
     return 0
 
 
--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -1,6 +1,7 @@
 """Clients: a thread for each connection reads its commands; each answer goes out in its command's turn."""
 
 import contextlib
+import errno
 import socket
 import struct
 import threading
@@ -11,29 +12,32 @@
 from . import resp
 from .place import now
 
-MOST_ASKS = 256  # commands of one connection that may wait for an answer; past it nothing more is read
-SLOWEST = struct.pack("ll", 5, 0)  # for so long a client may take none of its answers
+MOST_ASKS, MOST_UNSENT = 256, 1 << 20  # unanswered commands, unsent bytes; past them no more is read
+SLOWEST = 5  # seconds for which a client may take none of its answers
+SPARE = 32  # descriptors kept for what are no connections of clients or to instances
 
 
 class Ask:
     """One command of a client's, and its answer once there is one."""
 
-    __slots__ = ("client", "words", "answer", "lookup", "lane_name")
+    __slots__ = ("client", "words", "answer", "lookup")
 
-    def __init__(self, client, words, answer=None):
-        self.client, self.words, self.answer = client, words, answer
-        self.lookup, self.lane_name = None, ""
+    def __init__(self, client, words, answer=None, lookup=None):
+        self.client, self.words, self.answer, self.lookup = client, words, answer, lookup
 
 
 class Client:
+    """One client's connection. `room` guards its asks, what is unsent, and the end of its socket."""
+
     def __init__(self, sock, gate):
         self.sock, self.gate = sock, gate
         self.reader = resp.Reader(commands=True)
         self.room = threading.Condition()
         self.asks = deque()  # not yet answered in full, in their order
         self.unsent = bytearray()
-        self.writing = self.ended = False
-        self.since = time.monotonic()  # when it last brought or got something
+        self.writing = False  # a thread writes out what the client did not take at once
+        self.reason = None  # why we ended it
+        self.since = time.monotonic()  # when it last got an answer
 
     def run(self):
         reason = "fault"
@@ -43,7 +47,7 @@
             reason = "malformed"
             self.put(Ask(self, (), resp.error(f"ERR {error}")))
             with self.room:  # what was taken before it is still answered
-                while (self.asks or self.writing) and not self.ended:
+                while (self.asks or self.writing) and self.reason is None:
                     self.room.wait()
         except OSError:
             reason = "reset"
@@ -55,97 +59,94 @@
             with self.reader.buffer.room() as room:
                 count = self.sock.recv_into(room)
             if not count:
-                return "stopped" if self.ended else "closed by client"
+                return "client closed"
             self.reader.buffer.filled(count)
             while (words := self.reader.next()) is not resp.MORE:
                 self.take(words)
 
     def take(self, words):
-        name = words[0].upper()
-        if name in (b"Q.ASK", b"Q.DO"):
-            return self.look_up(name, words)
-        known = {b"PING": b"+PONG\r\n"}
-        self.put(Ask(self, words, known.get(name, resp.error("ERR unknown command"))))
-
-    def look_up(self, name, words):
-        arrived, ask = now(), Ask(self, words)
+        arrived, name = now(), words[0].upper()
+        if name == b"PING":
+            return self.put(Ask(self, words, b"+PONG\r\n"))
+        if name not in (b"Q.ASK", b"Q.DO"):
+            return self.put(Ask(self, words, resp.error("ERR unknown command")))
         try:
-            lookup = self.gate.lookup(arrived, words)
+            lookup = self.gate.lookup(arrived, name, words)
         except (ValueError, KeyError, IndexError) as error:
-            ask.answer = resp.error(f"ERR {type(error).__name__}: bad lookup")
-            return self.put(ask)
-        if (lookup.lane.effect == at.HARMLESS) != (name == b"Q.ASK"):
-            ask.answer = resp.error("ERR this lane goes by the other command")
-            return self.put(ask)
-        ask.lookup, ask.lane_name = lookup, self.gate.names[lookup.lane.number]
+            self.gate.counters.add("bad lookups")
+            return self.put(Ask(self, words, resp.error(f"ERR no lookup: {type(error).__name__}")))
+        ask = Ask(self, words, None, lookup)
         self.put(ask)
         self.gate.desk.tell(self.gate.desk.lookup_arrived, ask, lookup)
 
     def put(self, ask):
         with self.room:
-            while len(self.asks) >= MOST_ASKS and not self.ended:
+            while (len(self.asks) >= MOST_ASKS or len(self.unsent) > MOST_UNSENT) and self.reason is None:
                 self.room.wait()
             self.asks.append(ask)
         if ask.answer is not None:
             self.flush()
 
     def idle(self):
-        return not self.asks and not self.unsent and not len(self.reader.buffer)
+        """Whether it stands between lookups and nothing has come that is not read."""
+        with self.room:
+            if self.asks or self.unsent or len(self.reader.buffer) or self.reason is not None:
+                return False
+            try:
+                return not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            except OSError:
+                return True
 
     def flush(self):
         """Writes what is next to be answered; what the client does not take at once goes by a thread."""
         with self.room:
             while self.asks and self.asks[0].answer is not None:
                 self.unsent += self.asks.popleft().answer
-            self.room.notify_all()
             self.since = time.monotonic()
-            if self.writing or not self.unsent:
-                return
-            try:
-                del self.unsent[: self.sock.send(self.unsent, socket.MSG_DONTWAIT)]
-            except BlockingIOError:
-                pass
-            except OSError:
-                return self.unsent.clear()  # its reader ends it
-            if self.unsent:
-                self.writing = True
-                threading.Thread(target=self.drain, daemon=True).start()
+            if self.unsent and not self.writing:
+                with contextlib.suppress(OSError):
+                    del self.unsent[: self.sock.send(self.unsent, socket.MSG_DONTWAIT)]
+                if self.unsent and self.reason is None:
+                    self.writing = True
+                    threading.Thread(target=self.drain, daemon=True).start()
+            self.room.notify_all()
 
     def drain(self):
-        """Writes out all that is unsent, waiting for a client that takes something now and then."""
+        """Writes out all that is unsent, for as long as the client takes some of it now and then."""
         while True:
             with self.room:
                 data = bytes(self.unsent[:65536])
-                if not data or self.ended:
+                if not data or self.reason is not None:
                     self.writing = False
                     return self.room.notify_all()
             try:
-                sent = self.sock.send(data)
+                sent = self.sock.send(data)  # waits for SLOWEST at most
+            except BlockingIOError:
+                self.end("slow reader")
             except OSError:
-                sent = 0
-            if not sent:
-                self.end()
-            with self.room:
-                del self.unsent[:sent]
-
-    def end(self):
-        """Ends the connection from our side; its thread then notices."""
+                self.end("reset")
+            else:
+                with self.room:
+                    del self.unsent[:sent]
+                    self.room.notify_all()
+
+    def end(self, reason):
+        """Ends the connection from our side; its own thread then notices, and closes it."""
         with self.room, contextlib.suppress(OSError):
-            self.ended = True
+            self.reason = self.reason or reason
             self.room.notify_all()
             self.sock.shutdown(socket.SHUT_RDWR)
 
     def close(self, reason):
-        self.end()
+        self.end(reason)
         with self.room:
             while self.writing:
                 self.room.wait()
             lookups = [ask.lookup for ask in self.asks if ask.lookup and ask.answer is None]
+            self.sock.close()
         if lookups:
             self.gate.desk.tell(self.gate.desk.client_left, lookups)
-        with self.room:
-            self.sock.close()
-        self.gate.gone(self, reason)
+        self.gate.gone(self)
 
 
 class Gate:
@@ -153,11 +154,9 @@
 
     def __init__(self, place, desk, log, counters):
         self.place, self.desk, self.log, self.counters = place, desk, log, counters
-        self.names = [""] * len(place.lanes)
-        for name, lane in place.lanes.items():
-            self.names[lane.number] = name
-        self.most = place.sockets // 2
-        self.clients, self.lock = set(), threading.Lock()
+        # Past the first bound an idle connection makes room; past the second, new ones wait to be accepted.
+        self.most, self.limit = place.sockets // 2, place.sockets - place.to_instances - SPARE
+        self.clients, self.room = set(), threading.Condition()
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(place.listen)
@@ -167,42 +166,65 @@
 
     def run(self):
         while True:
+            with self.room:
+                while len(self.clients) >= self.limit:
+                    self.room.wait()
             try:
                 sock, _ = self.listener.accept()
             except OSError as error:
-                if self.listener.fileno() < 0:
-                    return
+                if self.listener.fileno() < 0 or error.errno == errno.EINVAL:
+                    return  # shut by `close`
                 self.log.warning("accept failed", reason=str(error))
-                time.sleep(0.01)
+                time.sleep(0.05)
                 continue
             self.admit(sock)
 
     def admit(self, sock):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, SLOWEST)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", SLOWEST, 0))
         client = Client(sock, self)
-        with self.lock:
+        with self.room:
             self.clients.add(client)
-            idle = [one for one in self.clients if one.idle()] if len(self.clients) > self.most else []
+            others = list(self.clients - {client}) if len(self.clients) > self.most else []
         self.counters.add("clients accepted")
-        if idle:
-            min(idle, key=lambda one: one.since).end()
-        threading.Thread(target=client.run, daemon=True).start()
+        if idle := [other for other in others if other.idle()]:
+            min(idle, key=lambda other: other.since).end("made room")
+        try:
+            threading.Thread(target=client.run, daemon=True).start()
+        except RuntimeError:
+            client.close("no thread")
 
-    def gone(self, client, reason):
-        with self.lock:
+    def gone(self, client):
+        with self.room:
             self.clients.discard(client)
-        self.counters.add(f"clients ended: {reason}")
-        self.log.info("client ended", reason=reason)
+            self.room.notify_all()
+        self.counters.add(f"clients ended: {client.reason}")
+        self.log.info("client ended", reason=client.reason)
+
+    def close(self):
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def close_idle(self):
+        """Ends the clients' connections that stand between lookups; whether any are left."""
+        with self.room:
+            clients = list(self.clients)
+        for client in clients:
+            if client.idle():
+                client.end("stopping")
+        return bool(clients)
 
-    def lookup(self, arrived, words):
+    def lookup(self, arrived, name, words):
         """A lookup from `Q.ASK key id extras [body]`; raises where it makes no sense."""
         key, id, extras = words[1], words[2], words[3].decode("ascii")
         said = dict(pair.split("=", 1) for pair in extras.split(","))
         wait, work = float(said["d"]), float(said.get("h", 0))
         lane = self.place.lanes[said["c"]]
-        if not 0 < wait < 1e9 or not 0 <= work < 1e12 or (lane.effect == at.STAMPED and "k" not in said):
-            raise ValueError
-        customer = self.place.customers.get(said.get("t"), 0)
+        if not 0 < wait < 1e9 or not 0 <= work < 1e12 or (lane.effect == at.STAMPED and not said["k"]):
+            raise ValueError("a wait, a hint or a stamp out of bounds")
+        if (lane.effect == at.HARMLESS) != (name == b"Q.ASK"):
+            raise ValueError("this lane goes by the other command")
+        customer = self.place.customers.get(said.get("t"), -1)
         stop = arrived + int(wait * 1e6)
         return at.Lookup(id, lane, customer, key, arrived, stop, int(work * 1e3), said.get("r") == "1")
--- a/lemonlead/gateway/desk.py
+++ b/lemonlead/gateway/desk.py
@@ -1,6 +1,8 @@
 """The one balancer under one lock. Whoever has read something tells it here; what it decides is passed on."""
 
 import threading
+import traceback
+from functools import partial
 
 from .. import interface as at
 from ..balance import Balancer
@@ -10,7 +12,8 @@
 
 class Desk:
     """The balancer's door. Nothing blocks under the lock: what might is put into `chores`, which whoever held
-    the lock does once it is free."""
+    the lock does once it is free. What is told and what is decided on it share one moment, as the interface
+    asks: a balancer knows by it that a lookup has just come."""
 
     def __init__(self, start, log, counters):
         self.lock = threading.Condition()
@@ -19,49 +22,28 @@
         self.asks = {}  # the lookups that want an answer: by lookup, the client's command
         self.chores = []
         self.instances = self.discovery = self.releases = None  # the drivers, set before the first call
-        self.armed = 0  # when the timer is to look next
-        self.stopping = False
+        self.armed = 0  # when the timer is to look next; 0 while it does not wait
 
     # ---- for the drivers
 
     def tell(self, happened, *values):
-        """An input of the balancer's, then all that it decides on it."""
+        """An input of the balancer's or of this desk's, then all that is decided on it."""
         with self.lock:
-            happened(now(), *values)
-            chores = self.pull()
+            chores = self.turn(happened, *values)
         for chore, *values in chores:
             chore(*values)
 
-    def lookup_arrived(self, at_time, ask, lookup):
-        self.asks[lookup] = ask
-        self.counters.add("taken")
-        self.counters.add(f"taken {ask.lane_name}")
-        self.balancer.lookup_arrived(at_time, lookup)
-
-    def client_left(self, at_time, lookups):
-        for lookup in lookups:
-            if self.asks.pop(lookup, None) is not None:
-                self.counters.add("left")
-                self.balancer.lookup_left(at_time, lookup)
-
-    def send_ended(self, at_time, send, end, value):
-        ask = self.asks.get(send.lookup)
-        succeeded = end == at.SUCCEEDED and ask is not None
-        if succeeded:
-            self.answer(send.lookup, "succeeded", resp.bulk(value))
-        self.counters.add(f"sends {end}")
-        over = succeeded or ask is None
-        self.balancer.send_ended(at_time, send, end, at_time - send.at, over, {})
-
-    def may_begin(self, send):
-        """Whether a send that had to wait for its connection may still write its first byte."""
-        with self.lock:
-            return send.lookup in self.asks
-
-    def pull(self):
-        while self.balancer.decide(now(), self):
-            pass
-        wake = self.balancer.wake_at()
+    def turn(self, happened, *values):
+        moment = now()
+        try:
+            happened(moment, *values)
+            while self.balancer.decide(moment, self):
+                pass
+            wake = self.balancer.wake_at()
+        except Exception:  # no input may end the thread that brought it
+            self.counters.add("faults")
+            self.chores.append((partial(self.log_line.error, "fault", reason=traceback.format_exc()),))
+            wake = moment + 1_000_000_000
         if wake < self.armed:
             self.armed = wake
             self.lock.notify()
@@ -72,26 +54,49 @@
         """The timer's thread: asks again when the balancer said, though nothing happened."""
         while True:
             with self.lock:
-                wait = self.balancer.wake_at() - now()
-                if wait > 0:
-                    self.armed = now() + wait
+                self.armed = self.balancer.wake_at()
+                if (wait := self.armed - now()) > 0:
                     self.lock.wait(min(wait / 1e9, 60.0))
-                self.armed = 0
-                chores = self.pull()
-            for chore, *values in chores:
-                chore(*values)
+            self.tell(lambda moment: None)
+
+    def lookup_arrived(self, moment, ask, lookup):
+        self.asks[lookup] = ask
+        self.count("taken", lookup)
+        lookup.arrived = moment
+        self.balancer.lookup_arrived(moment, lookup)
+
+    def client_left(self, moment, lookups):
+        for lookup in lookups:
+            if self.asks.pop(lookup, None) is not None:
+                self.count("left", lookup)
+                self.balancer.lookup_left(moment, lookup)
+
+    def send_ended(self, moment, send, end, value):
+        if end == at.SUCCEEDED and send.lookup in self.asks:
+            self.answer(send.lookup, "succeeded", resp.bulk(value))
+        self.counters.add(f"sends {end}")
+        self.balancer.send_ended(moment, send, end, moment - send.at, send.lookup not in self.asks, {})
+
+    def may_begin(self, send):
+        with self.lock:
+            return send.lookup in self.asks and self.balancer.may_begin(now(), send)
+
+    def count(self, what, lookup):
+        self.counters.add(what)
+        self.counters.add(f"{what} lane {lookup.lane.number}")
 
     # ---- the door
 
     def answer(self, lookup, ending, data):
         ask = self.asks.pop(lookup)
-        self.counters.add(ending)
-        self.counters.add(f"{ending} {ask.lane_name}")
+        self.count(ending, lookup)
         ask.answer = data
         self.chores.append((ask.client.flush,))
 
     def send(self, lookup, instance_id, time_out):
-        trip = self.instances.trip(lookup.sends[-1], instance_id, self.asks[lookup].words, now() + time_out)
+        self.counters.add("sends")
+        until = now() + time_out
+        trip = self.instances.trip(lookup.sends[-1], instance_id, self.asks[lookup].words, until)
         self.chores.append((self.instances.start, trip))
 
     def withdraw(self, send):
--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -6,6 +6,7 @@
 
 from .. import interface as at
 from . import http
+from .pause import Pause
 from .place import address
 
 SILENCE = 5.0  # seconds without a line after which a watch is dead; one comes every 2 s
@@ -16,6 +17,7 @@
         self.place, self.desk, self.log, self.counters = place, desk, log, counters
         self.wanted = threading.Event()
         self.version = -1
+        self.pause = Pause(place.start.seed, 0.05, 1.0)  # on top of the balancer's own
 
     def ask(self):
         self.wanted.set()
@@ -28,12 +30,15 @@
                 reason = self.watch()
             except http.Malformed as error:
                 reason = f"malformed: {error}"
+            except TimeoutError:
+                reason = "silent"
             except OSError as error:
                 reason = type(error).__name__
             except Exception as error:  # the next watch depends on this thread
                 reason = f"fault: {type(error).__name__}: {error}"
             self.counters.add("watches ended")
             self.log.info("watch ended", reason=reason, version=self.version)
+            self.pause.wait()
             self.desk.tell(self.desk.balancer.list_failed)
 
     def watch(self):
@@ -65,6 +70,7 @@
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             raise http.Malformed(f"no list: {type(error).__name__}: {error}") from None
         self.desk.tell(self.listed, version, lines, addresses, bool(update.get("full")), True)
+        self.pause.worked()
 
     def read(self, update):
         """The version, the lines of the list and the instances' addresses from an object of discovery's."""
@@ -78,7 +84,7 @@
                 int(entry.get("cell") or 0), state, float(entry.get("weight", 1.0)),
                 int(float(entry.get("started_ms") or 0) * 1e6),
             ))
-            addresses[entry["id"]] = address(entry["addr"]) if state == at.READY else None
+            addresses[entry["id"]] = address(entry["addr"]) if state == at.READY else None, lines[-1].started
         return int(update["version"]), lines, addresses
 
     def listed(self, now, version, lines, addresses, whole, fresh):
@@ -88,8 +94,8 @@
             lines, addresses, whole = [], {}, False
         self.version = max(version, self.version)
         for id in [id for id in self.desk.instances.pools if id not in addresses] if whole else ():
-            self.desk.instances.listed(id, None)
-        for id, where in addresses.items():
-            self.desk.instances.listed(id, where)
+            self.desk.instances.listed(id, None, 0)
+        for id, (where, started) in addresses.items():
+            self.desk.instances.listed(id, where, started)
         self.counters.add("lists told")
         self.desk.balancer.listed(now, lines, whole, fresh)
--- a/lemonlead/gateway/instances.py
+++ b/lemonlead/gateway/instances.py
@@ -18,32 +18,36 @@
         self.reader = resp.Reader()
         self.used = 0  # when its last answer came
 
+    def wait(self, until):
+        """Has what follows on the socket wait until then at most."""
+        if (left := until - now()) <= 0:
+            raise TimeoutError
+        self.sock.settimeout(left / 1e9)
+
     def connect(self, until):
-        self.sock.settimeout(max((until - now()) / 1e9, 0.001))
+        self.wait(until)
         self.sock.connect(self.pool.address)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    def alive(self):
-        """Whether nothing has come on it, its end included, while it was unused."""
+    def quiet(self):
+        """Whether nothing has come while it was unused: neither its end nor an answer that nobody awaits."""
+        self.sock.settimeout(0)
         try:
-            self.sock.settimeout(None)
-            return not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) and False
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return True
+            return not len(self.reader.buffer)
         except OSError:
-            return False
+            pass
+        return False
 
     def write(self, data, until):
-        self.sock.settimeout(max((until - now()) / 1e9, 0.001))
+        self.wait(until)
         self.sock.sendall(data)
 
     def read(self, until):
         """The next whole value; raises TimeoutError, OSError or Malformed."""
         while (value := self.reader.next()) is resp.MORE:
-            left = (until - now()) / 1e9
-            if left <= 0:
-                raise TimeoutError
-            self.sock.settimeout(left)
+            self.wait(until)
             with self.reader.buffer.room() as room:
                 count = self.sock.recv_into(room)
             if not count:
@@ -53,10 +57,11 @@
 
 
 class Pool:
-    """One instance's address and its unused connections, the longest unused first."""
+    """One instance since its last start: its address and unused connections, the longest unused first."""
 
-    def __init__(self, address):
-        self.address, self.unused = address, deque()
+    def __init__(self, address, started):
+        self.address, self.started, self.unused = address, started, deque()
+        self.closed = False
 
 
 class Trip:
@@ -68,71 +73,89 @@
 
 
 class Instances:
+    """`lock` guards pools, trips and the count of connections; where both are held, it is taken second."""
+
     def __init__(self, place, desk, log, counters):
         self.desk, self.log, self.counters = desk, log, counters
         self.idle_time, self.connect_time = int(place.start.idle_time * SPARE), place.start.connect_time
-        self.most = place.sockets * 3 // 8
-        self.open = 0  # connections that stand or are being made
+        self.most, self.open = place.to_instances, 0  # connections that stand or are being made
         self.lock = threading.Lock()
         self.pools, self.trips = {}, {}  # by the instance's id; by send
 
-    def listed(self, id, address):
-        """Under the desk's lock. None: it drains or is gone, and its unused connections close."""
+    # ---- under the desk's lock
+
+    def listed(self, id, address, started):
+        """Without an address it drains or is gone. Unused connections to what it was before are closed."""
         old = self.pools.get(id)
-        if old is not None and old.address != address:
+        if old is not None and (old.address, old.started) != (address, started):
             del self.pools[id]
             self.desk.chores.append((self.clear, old))
         if address is not None and id not in self.pools:
-            self.pools[id] = Pool(address)
+            self.pools[id] = Pool(address, started)
+
+    def trip(self, send, id, words, until):
+        trip = Trip(send, self.pools.get(id), words, until)
+        with self.lock:
+            self.trips[send] = trip
+        return trip
+
+    # ---- not under it
 
     def clear(self, pool):
         with self.lock:
-            unused, pool.unused = list(pool.unused), deque()
+            pool.closed = True
+            unused, pool.unused = pool.unused, deque()
         for connection in unused:
             self.end(connection, "instance gone")
 
-    def trip(self, send, id, words, until):
-        """Under the desk's lock."""
-        trip = self.trips[send] = Trip(send, self.pools.get(id), words, until)
-        return trip
-
     def start(self, trip):
-        threading.Thread(target=self.carry, args=(trip,), daemon=True).start()
+        try:
+            threading.Thread(target=self.carry, args=(trip,), daemon=True).start()
+        except RuntimeError:  # no thread to be had
+            self.over(trip, at.NOT_SENT, None)
 
     def withdraw(self, send):
         with self.lock:
-            trip = self.trips.get(send)
-            if trip is None:
-                return
-            trip.withdrawn = True
-            if trip.connection is not None and trip.written:
-                self.shut(trip.connection)
+            if (trip := self.trips.get(send)) is not None:
+                trip.withdrawn = True
+                if trip.written:
+                    self.shut(trip.connection)
 
     def shut(self, connection):
         with contextlib.suppress(OSError):
             connection.sock.shutdown(socket.SHUT_RDWR)
 
     def carry(self, trip):
-        end, value = self.attempt(trip)
-        connection = trip.connection
+        try:
+            end, value = self.attempt(trip)
+        except Exception as error:  # a send always ends, and what may have run is never said not to have
+            self.log.error("fault", reason=f"{type(error).__name__}: {error}")
+            end, value = (at.RESET if trip.written else at.UNCONNECTED), None
+        self.over(trip, end, value)
+
+    def over(self, trip, end, value):
+        connection, pool, ended = trip.connection, trip.pool, []
         with self.lock:
-            self.trips.pop(trip.send, None)
+            del self.trips[trip.send]
             keep = end in (at.SUCCEEDED, at.ERRED, at.REJECTED, at.NOT_SENT) and not trip.withdrawn
-            if keep and connection is not None:
+            if connection is not None and keep and not pool.closed:
                 connection.used = now()
-                trip.pool.unused.append(connection)
-        if connection is not None and not keep:
-            self.end(connection, end)
+                pool.unused.append(connection)
+            elif connection is not None:
+                ended.append((connection, end))
+            if connection is not None and end in (at.TIMED_OUT, at.RESET, at.UNCONNECTED):
+                # Guards against a machine that vanished: its open connections stay silent also once it is
+                # back. It could close good ones of a machine that is slow; those cost a new one each.
+                ended += [(old, "instance silent") for old in pool.unused if old.used < trip.send.at]
+                pool.unused = deque(old for old in pool.unused if old.used >= trip.send.at)
+        for connection, reason in ended:
+            self.end(connection, reason)
         self.desk.tell(self.desk.send_ended, trip.send, end, value)
 
     def attempt(self, trip):
-        """How the send ended, and the value if it succeeded. What may have run is never said not to have."""
+        """How the send ended, and the value if it succeeded."""
         try:
-            self.reach(trip)
-            with self.lock:
-                if trip.withdrawn or trip.connection is None:
-                    return at.NOT_SENT, None
-            if not self.desk.may_begin(trip.send):
+            if not self.reach(trip) or trip.withdrawn or not self.desk.may_begin(trip.send):
                 return at.NOT_SENT, None
             wait = max((trip.until - now()) // 1_000_000, 1)
             trip.connection.write(resp.command(passed_on(trip.words, wait)), trip.until)
@@ -155,38 +178,42 @@
             return at.SUCCEEDED, value[0]
         if isinstance(value, resp.Fault) and value.split(b" ")[0] == b"BUSY":
             return at.REJECTED, None
-        if not isinstance(value, resp.Fault) or not value.startswith(b"ERR failed"):
+        if value != b"ERR failed":
             self.log.warning("instance answered oddly", reason=repr(value)[:200])
         return at.ERRED, None
 
     def reach(self, trip):
-        """Finds an unused connection that still stands, or makes one. Without room for one there is none."""
+        """Finds an unused connection that still stands, or makes one; False where there is no room for one.
+        One that came to its end while unused is replaced: nothing of this send has been written to it."""
         pool, ended = trip.pool, []
         if pool is None:
-            return
+            return False
         with self.lock:
             while pool.unused and pool.unused[0].used + self.idle_time < now():
                 ended.append((pool.unused.popleft(), "unused"))
             while pool.unused and trip.connection is None:
                 connection = pool.unused.pop()
-                if connection.alive():
+                if connection.quiet():
                     trip.connection = connection
                 else:
-                    ended.append((connection, "closed by instance"))
-            made = trip.connection is None and self.open < self.most
-            if made:
-                self.open += 1
+                    ended.append((connection, "instance closed"))
         for connection, reason in ended:
             self.end(connection, reason)
-        if made:
-            try:
-                trip.connection = Connection(pool)
-            except OSError:
-                with self.lock:
-                    self.open -= 1
-                raise
-            self.counters.add("connections made")
-            trip.connection.connect(min(trip.until, now() + self.connect_time))
+        if trip.connection is not None:
+            return True
+        with self.lock:
+            if self.open >= self.most:
+                return False
+            self.open += 1
+        try:
+            trip.connection = Connection(pool)
+        except OSError:  # no descriptor to be had
+            with self.lock:
+                self.open -= 1
+            return False
+        self.counters.add("connections made")
+        trip.connection.connect(min(trip.until, now() + self.connect_time))
+        return True
 
     def end(self, connection, reason):
         connection.sock.close()
--- a/lemonlead/gateway/place.py
+++ b/lemonlead/gateway/place.py
@@ -27,7 +27,8 @@
     listen: tuple
     discovery: tuple
     platform: tuple | None
-    sockets: int
+    sockets: int  # descriptors that may be open
+    to_instances: int  # of them, the most that may be connections to instances
     start: at.Start
     lanes: dict  # by the name that clients give
     customers: dict
@@ -55,14 +56,14 @@
         told, desk = config["settings"], config.get("release_api") or {}
         start = started(told, int(config["seed"], 16), now())
         start.ask_for_list = True  # on sockets the list comes to those alone that ask for it
-        news = desk.get("news")
+        news, sockets = desk.get("news"), int(config.get("limits", {}).get("sockets", 1024))
         names = ("release", "tranche", "mode", "exposure", "old_ms")
         return Place(
             name=environment.get("ROUTER_NAME") or config["name"],
             listen=address(environment.get("ROUTER_LISTEN") or config["listen"]),
             discovery=address(environment.get("ROUTER_DISCOVERY") or config["discovery"]),
             platform=address(desk["address"]) if "address" in desk else None,
-            sockets=int(config.get("limits", {}).get("sockets", 1024)), start=start,
+            sockets=sockets, to_instances=sockets * 3 // 8, start=start,
             lanes={lane["Name"]: start.lanes[n] for n, lane in enumerate(told.get("Lanes", []))},
             customers=numbered(customer["Name"] for customer in told.get("Projects", [])),
             zones=numbered(told.get("Areas", [])), kinds=numbered(told.get("Skus", [])),
--- a/lemonlead/gateway/releases.py
+++ b/lemonlead/gateway/releases.py
@@ -1,15 +1,14 @@
 """The platform: one thread hears its news, another casts the votes and hears what became of them."""
 
 import queue
-import random
 import socket
 import time
 
 from .. import interface as at
 from . import platform
+from .pause import Pause
 
 SILENCE = 3.5  # seconds without a sign of life after which news are cut off; one comes each second
-LONGEST_PAUSE = 2.0
 
 
 class Releases:
@@ -17,7 +16,7 @@
         self.place, self.desk, self.log, self.counters = place, desk, log, counters
         self.answer_time = place.start.release.answer_time / 1e9
         self.votes = queue.SimpleQueue()
-        self.random = random.Random(place.start.seed)
+        self.pause = Pause(place.start.seed, 0.1, 2.0)
 
     def vote(self, *vote):
         self.votes.put((time.monotonic() + self.answer_time, vote))
@@ -25,21 +24,20 @@
     # ---- news
 
     def hear(self):
-        failures = 0
         while True:
-            began = time.monotonic()
             try:
                 reason = self.listen()
             except platform.Malformed as error:
                 reason = f"malformed: {error}"
+            except TimeoutError:
+                reason = "silent"
             except OSError as error:
                 reason = type(error).__name__
             except Exception as error:  # news depend on this thread
                 reason = f"fault: {type(error).__name__}: {error}"
             self.counters.add("news connections ended")
             self.log.info("news ended", reason=reason)
-            failures = 0 if time.monotonic() - began > 2 * SILENCE else min(failures + 1, 6)
-            time.sleep(min(0.1 * 2**failures, LONGEST_PAUSE) * self.random.uniform(0.5, 1.0))
+            self.pause.wait()
 
     def listen(self):
         with socket.socket() as sock:
@@ -54,6 +52,7 @@
                 if words[:2] == ["*", "stage"]:
                     self.counters.add("news told")
                     self.desk.tell(self.desk.balancer.stage_told, *platform.stage(words[2:]))
+                    self.pause.worked()
                 elif words[:1] not in (["*"], ["OK"]):
                     return "refused: " + " ".join(words)[:100]
 
--- a/lemonlead/interface.py
+++ b/lemonlead/interface.py
@@ -1,6 +1,8 @@
 """What passes the door between a host and a balancer (`lemonlead/balance.py`). Types only.
 
-Times are whole nanoseconds; a moment is read off the host's clock, which has no fixed start.
+Times are whole nanoseconds; a moment is read off the host's clock, which has no fixed start. A host reads it
+once for an input and all decisions that it pulls on it. Ids and keys are the host's: a balancer only compares
+them.
 """
 
 from dataclasses import dataclass, field
