Integration tests start the gateway among stand-ins; each parser is fed at every split

A body of negative length in an answer of HTTP was taken (found by a parser test); it is malformed now.

--- a/lemonlead/gateway/__main__.py
+++ b/lemonlead/gateway/__main__.py
@@ -55,7 +55,8 @@
     threads += [releases.hear, releases.poll] if place.platform else []
     for thread in threads:
         threading.Thread(target=thread, daemon=True).start()
-    log.info("serving", listen=place.listen[0], port=place.listen[1], instances=len(known[1]))
+    host, port = gate.listener.getsockname()
+    log.info("serving", listen=host, port=port, instances=len(known[1]))
     while signal.sigwait(SIGNALS) == signal.SIGUSR1:
         log.info("counters", **figures(desk))
     return stop(gate, desk, log)
--- a/lemonlead/gateway/http.py
+++ b/lemonlead/gateway/http.py
@@ -62,6 +62,8 @@
         else:
             length = self.headers.get(b"content-length")
             self.left, self.state = None if length is None else int(length), self.body
+            if self.left is not None and self.left < 0:
+                raise Malformed("a body of less than nothing")
         return True
 
     def chunk_size(self):
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,301 @@
+"""The gateway, started as a program among stand-ins on loopback: what it takes, sends and answers.
+
+Everything waits on conditions; the one clock that matters is the hard stop where a test is about it.
+"""
+
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+from helpers import SETTINGS, InstanceServer, counted, entry, gateway, served, until
+
+from lemonlead.gateway import resp
+
+LIMITS = SETTINGS["Limits"]
+
+
+@pytest.mark.parametrize("lane, body", [("look", ()), ("hold", (b"BODY",)), ("buy", (b"\0\r\n" * 9000,))])
+def test_a_lookup_of_each_effect_succeeds_and_is_passed_on_unchanged(tmp_path, lane, body):
+    server = InstanceServer().start()
+    with gateway(tmp_path, server) as ran:
+        assert ran.client().write(resp.command([b"PING"])).read() == b"PONG"
+        assert ran.client().ask(b"7f3a", lane, body=body, h=5000, r=1).read() == b"7f3a"
+        (name, key, _, extras, *rest), = server.got
+        said = dict(pair.split("=") for pair in extras.decode().split(","))
+        assert (name, key, tuple(rest)) == (b"Q.ASK" if lane == "look" else b"Q.DO", b"7f3a", body)
+        assert 0 < int(said.pop("d")) <= 20000
+        stamp = {"k": "5c"} if lane == "hold" else {}
+        assert said == {"c": lane, "t": "acme", "h": "5000", "r": "1", **stamp}
+
+
+def test_pipelined_commands_are_answered_in_their_order(tmp_path):
+    later = threading.Event()
+
+    def react(words):
+        if words[1] == b"first":
+            later.wait(60)
+        else:
+            later.set()
+        return served(words[1])
+
+    with gateway(tmp_path, InstanceServer(react).start()) as ran:
+        client = ran.client().ask(b"first").ask(b"second").write(resp.command([b"PING"])).ask(b"third")
+        assert [client.read() for _ in range(4)] == [b"first", b"second", b"PONG", b"third"]
+
+
+def test_input_that_comes_byte_by_byte_is_read(tmp_path):
+    with gateway(tmp_path, InstanceServer().start()) as ran:
+        client = ran.client()
+        for byte in resp.command([b"Q.ASK", b"key", b"id", b"c=look,t=acme,d=20000"]):
+            client.write(bytes([byte]))
+        assert client.read() == b"key"
+
+
+@pytest.mark.parametrize(
+    "data", [b"GET / HTTP/1.1\r\n", b"*1\r\n$99999\r\n", b"*1\r\n$4\r\nPINGxx", b"*1000\r\n"]
+)
+def test_malformed_input_gets_an_error_and_ends_that_connection_alone(tmp_path, data):
+    with gateway(tmp_path, InstanceServer().start()) as ran:
+        client, other = ran.client(), ran.client()
+        client.ask(b"before").write(data)
+        assert client.read() == b"before"
+        assert isinstance(answer := client.read(), resp.Fault) and answer.startswith(b"ERR ")
+        assert client.read() is None
+        assert other.ask().read() == b"aa"
+        assert until(lambda: 'event="client ended"' in ran.log() and "reason=malformed" in ran.log())
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        "HELLO", "Q.ASK", "Q.ASK k i", "Q.ASK k i c=odd,d=10", "Q.ASK k i c=look", "Q.ASK k i c=look,d=0",
+        "Q.ASK k i c=look,d=-5", "Q.ASK k i c=look,d=nan", "Q.ASK k i c=buy,d=10", "Q.DO k i c=look,d=10",
+        "Q.DO k i c=hold,d=10", "Q.ASK k i junk", "Q.ASK k i c=look,d=10,h=x",
+    ],
+)
+def test_a_command_that_makes_no_sense_gets_an_error_and_the_connection_stays(shared, words):
+    client = shared.client().write(resp.command(words.encode().split()))
+    assert isinstance(client.read(), resp.Fault)
+    assert client.ask().read() == b"aa"
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    with gateway(tmp_path_factory.mktemp("shared"), InstanceServer().start()) as ran:
+        yield ran
+
+
+@pytest.mark.parametrize(
+    "answer, lane, ending",
+    [
+        (b"-BUSY\r\n", "look", b"BUSY 62"), (b"-BUSY\r\n", "buy", b"BUSY 62"),  # never ran
+        (b"-ERR failed\r\n", "buy", b"ERR aborted"), (b"-ERR failed\r\n", "look", b"BUSY 62"),
+        (None, "buy", b"ERR aborted"), (None, "hold", b"BUSY 62"),  # reset after the last byte
+        (b"nonsense\r\n", "buy", b"ERR aborted"), (b"$-1\r\n", "buy", b"ERR aborted"),
+        (b"*3\r\n$5\r\nab", "buy", b"ERR aborted"),  # broken amid the answer
+    ],
+)
+def test_what_a_lone_instance_does_decides_how_a_lookup_ends(tmp_path, answer, lane, ending):
+    server = InstanceServer()
+
+    def react(words):
+        if answer and not answer.endswith(b"\n"):
+            server.connections[-1].sendall(answer)
+            return None
+        return answer
+
+    server.react = react
+    with gateway(tmp_path, server.start()) as ran:
+        assert ran.client().ask(lane=lane, wait=15000).read() == ending
+        assert len(server.got) == 1 or ending == b"BUSY 62"
+
+
+@pytest.mark.parametrize("heeds, ending", [(True, b"BUSY 62"), (False, b"BUSY")])
+def test_a_refused_connection_is_pushed_back_with_a_time_where_clients_heed_one(tmp_path, heeds, ending):
+    server = InstanceServer()
+    server.close()
+    with gateway(tmp_path, server, settings={"Limits": {**LIMITS, "RetryAfter": heeds}}) as ran:
+        assert ran.client().ask(lane="buy").read() == ending
+
+
+@pytest.mark.parametrize(
+    "lane, ending", [("look", b"BUSY 62"), ("hold", b"BUSY 62"), ("buy", b"ERR aborted")]
+)
+def test_a_silent_instance_is_waited_for_until_the_hard_stop(tmp_path, lane, ending):
+    asked = threading.Event()
+    with gateway(tmp_path, InstanceServer(lambda words: asked.wait(60) and None).start()) as ran:
+        began = time.monotonic()
+        assert ran.client().ask(lane=lane, wait=400).read() == ending
+        assert time.monotonic() - began >= 0.39
+        until(lambda: counted_sends(ran)["sends_timed_out"] == 1)
+        asked.set()
+
+
+def counted_sends(ran):
+    return {"sends_timed_out": 0, **ran.counters()}
+
+
+def test_what_one_instance_lets_wait_is_asked_of_another(tmp_path):
+    silent = threading.Event()
+
+    def react(words):
+        if not silent.is_set():  # whichever is asked first
+            silent.set()
+            time.sleep(0)
+            threading.Event().wait(30)
+        return served(b"second")
+
+    with gateway(tmp_path, InstanceServer(react).start(), InstanceServer(react).start()) as ran:
+        assert ran.client().ask().read() == b"second"
+
+
+def test_a_drain_told_while_a_send_waits_for_its_connection_is_kept(tmp_path):
+    drained, other = InstanceServer(backlog=0), InstanceServer(lambda words: served(b"other")).start()
+    host, port = drained.address.split(":")
+    plugs = [socket.socket() for _ in range(8)]  # fill the queue of connections: further ones do not come up
+    for plug in plugs:
+        plug.setblocking(False)
+        plug.connect_ex((host, int(port)))
+    with gateway(tmp_path, drained, other, entries=[entry("i0", drained)]) as ran:
+        client = ran.client().ask(lane="buy")
+        until(lambda: counted_sends(ran).get("connections_made") == 1)
+        ran.discovery.tell(entry("i0", drained, "draining"), entry("i1", other))
+        until(lambda: counted_sends(ran).get("lists_told", 0) >= 2)
+        for plug in plugs:
+            plug.close()
+        drained.start()
+        assert client.read() == b"other" and not drained.got
+        assert counted_sends(ran)["sends_not_sent"] + counted_sends(ran).get("sends_unconnected", 0) == 1
+
+
+def test_the_watch_goes_on_from_the_last_version_after_a_cut(tmp_path):
+    old = InstanceServer(lambda words: served(b"old")).start()
+    new = InstanceServer(lambda words: served(b"new")).start()
+    with gateway(tmp_path, old, new, entries=[entry("i0", old)]) as ran:
+        until(lambda: ran.discovery.asked == ["/api/targets?stream=1&index=1"])
+        ran.discovery.tell(entry("i0", old, build=1))
+        until(lambda: counted_sends(ran).get("lists_told", 0) >= 2)
+        ran.discovery.cut()
+        until(lambda: ran.discovery.asked[1:] == ["/api/targets?stream=1&index=2"])
+        ran.discovery.tell(entry("i0", old), version=1)  # older than what is known: tells nothing
+        ran.discovery.tell(entry("i0", old, "removed"), entry("i1", new), version=3)
+        until(lambda: counted_sends(ran).get("lists_told", 0) >= 4)
+        assert ran.client().ask().read() == b"new" and not old.got
+
+
+def test_news_that_cannot_be_read_or_are_cut_off_are_asked_for_anew(tmp_path):
+    with gateway(tmp_path, InstanceServer().start()) as ran:
+        until(lambda: ran.platform.asked == 1)
+        ran.platform.cut()
+        until(lambda: ran.platform.asked == 2)
+        ran.platform.tell("nonsense")
+        until(lambda: "malformed" in ran.log())
+        ran.platform.tell("1 0 released 1 9000")
+        told = ran.counters()["news_told"]
+        until(lambda: ran.counters()["news_told"] > told)
+        assert ran.client().ask().read() == b"aa"
+
+
+@pytest.mark.parametrize(
+    "answer, counted_as", [(None, "counted"), ("ERR Throttling", "over"), ("what", "unanswered")]
+)
+def test_a_good_build_is_voted_on_and_a_vote_that_did_not_count_is_cast_again(tmp_path, answer, counted_as):
+    earlier, trial = InstanceServer().start(), InstanceServer().start()
+    entries = [entry("i0", earlier), entry("i1", trial, build=2)]
+    with gateway(tmp_path, earlier, trial, entries=entries) as ran:
+        if answer:
+            ran.platform.answer = lambda _: answer if len(ran.platform.ballots) == 1 else "OK 2 1 trial 1 0"
+        else:
+            ran.platform.answer = lambda _: "OK 2 1 trial 1 0"
+        ran.platform.tell("2 0 trial 0.8 0")
+        clients = [ran.client() for _ in range(4)]
+
+        def voted():
+            for client in clients:
+                client.ask(h=1000)
+            for client in clients:
+                client.read()
+            return len(ran.platform.ballots) >= (2 if answer else 1)
+
+        until(voted)
+        assert set(ran.platform.ballots[: 2 if answer else 1]) == {"BALLOT 2 0 go"}
+        until(lambda: f"votes_{counted_as}" in ran.counters())
+
+
+def test_sigterm_serves_what_still_comes_and_ends_what_was_taken(tmp_path):
+    hold = threading.Event()
+
+    def react(words):
+        if words[1] == b"held":
+            hold.wait(60)
+        return served(words[1])
+
+    with gateway(tmp_path, InstanceServer(react).start()) as ran:
+        held, unused = ran.client().ask(b"held"), ran.client()
+        until(lambda: ran.counters().get("sends") == 1)
+        ran.process.send_signal(signal.SIGTERM)
+        until(lambda: "event=stopping" in ran.log())
+        assert unused.read() is None  # closed between lookups
+        hold.set()
+        assert held.read() == b"held" and held.read() is None
+        assert ran.process.wait(60) == 0
+        said = counted(ran.log(), "stopped")
+        assert (said["taken"], said["succeeded"], said["open"]) == (1, 1, 0)
+
+
+def test_the_counters_add_up(tmp_path):
+    def react(words):
+        return {b"no": b"-ERR failed\r\n", b"full": b"-BUSY\r\n"}.get(words[1]) or served(words[1])
+
+    gate = threading.Event()
+    server = InstanceServer(lambda words: gate.wait(60) and None if words[1] == b"stuck" else react(words))
+    with gateway(tmp_path, server.start()) as ran:
+        for key in (b"a", b"no", b"full", b"b"):
+            ran.client().ask(key, "buy").read()
+            time.sleep(0)
+        ran.client().ask(b"stuck")
+        gone = ran.client().ask(b"stuck")
+        until(lambda: ran.counters()["taken"] == 6)
+        gone.sock.close()
+        until(lambda: ran.counters().get("left") == 1)
+        said = ran.counters()
+        endings = [said.get(name, 0) for name in ("succeeded", "pushed_back", "aborted", "left", "open")]
+        assert said["taken"] == sum(endings) and endings[0] >= 1 and endings[3:] == [1, 1]
+        gate.set()
+
+
+def test_a_client_that_reads_nothing_holds_up_nobody_else(tmp_path):
+    with gateway(tmp_path, InstanceServer(lambda words: served(b"x" * 65536)).start()) as ran:
+        slow = ran.client()
+        slow.sock.settimeout(5)
+        with pytest.raises(TimeoutError):  # in the end it is not read from any more either
+            for _ in range(100_000):
+                slow.ask(wait=300)
+        assert ran.client().ask().read() == b"x" * 65536
+
+
+def test_a_killed_gateway_starts_anew_from_what_it_is_told(tmp_path):
+    server = InstanceServer().start()
+    with gateway(tmp_path, server) as ran:
+        ran.discovery.close()
+        ran.platform.close()
+        assert ran.client().write(resp.command([b"PING"])).read() == b"PONG"
+        assert ran.client().ask().read() == b"aa"
+
+
+@pytest.mark.parametrize(
+    "text", [None, "{", "[]", "{}", '{"settings": {}, "seed": "xyz"}', '{"settings": 3, "seed": "1"}']
+)
+def test_a_configuration_that_cannot_be_used_ends_the_start_with_one_line(tmp_path, text):
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run(
+        [sys.executable, "-m", "lemonlead.gateway"], env={"ROUTER_CONFIG": str(path)},
+        capture_output=True, text=True,
+    )
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and done.stdout == ""
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,149 @@
+"""The protocols' state machines: fed whole, split at every byte, and with what breaks their limits."""
+
+import pytest
+
+from lemonlead import interface as at
+from lemonlead.gateway import http, platform, resp
+from lemonlead.gateway.buffer import Buffer
+
+
+def fed(machine, pieces, more):
+    """All that a machine gives, fed these pieces."""
+    given = []
+    for piece in pieces:
+        machine.buffer.add(piece)
+        while (value := machine.next()) is not more:
+            given.append(value)
+            if value is http.END:
+                return given
+    return given
+
+
+def splits(data):
+    """The data whole, in two at every byte, and byte by byte."""
+    yield [data]
+    yield from ([data[:at], data[at:]] for at in range(1, len(data)))
+    yield [bytes([byte]) for byte in data]
+
+
+COMMANDS = b"*1\r\n$4\r\nPING\r\n*3\r\n$5\r\nQ.ASK\r\n$0\r\n\r\n$2\r\n\r\n\r\n"
+ANSWERS = (
+    b"*3\r\n$3\r\nabc\r\n$-1\r\n$-1\r\n-BUSY 5\r\n+PONG\r\n$-1\r\n:-7\r\n*2\r\n*1\r\n:1\r\n*0\r\n$0\r\n\r\n"
+)
+
+
+def test_commands_are_read_however_they_are_split():
+    for pieces in splits(COMMANDS):
+        read = fed(resp.Reader(commands=True), pieces, resp.MORE)
+        assert read == [[b"PING"], [b"Q.ASK", b"", b"\r\n"]]
+
+
+def test_answers_are_read_however_they_are_split():
+    for pieces in splits(ANSWERS):
+        read = fed(resp.Reader(), pieces, resp.MORE)
+        assert read == [[b"abc", None, None], b"BUSY 5", b"PONG", None, -7, [[1], []], b""]
+        assert isinstance(read[1], resp.Fault) and isinstance(read[2], resp.Status) and type(read[6]) is bytes
+
+
+@pytest.mark.parametrize("commands", [True, False])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"*1\r\n$65537\r\n", b"*65\r\n", b"*-2\r\n", b"$-2\r\n", b"*x\r\n", b"hello\r\n", b"\r\n",
+        b"*1\r\n$3\r\nabcde", b"x" * 1025, b"*1\r\n$1x\r\n", b"*" + b"1" * 1025, b"*1\r\n" * 5, b"$--1\r\n",
+    ],
+)
+def test_what_is_malformed_or_too_long_is_said_to_be(data, commands):
+    with pytest.raises(resp.Malformed):
+        fed(resp.Reader(commands), [data], resp.MORE)
+
+
+@pytest.mark.parametrize(
+    "data", [b"*0\r\n", b"*-1\r\n", b"$4\r\nPING\r\n", b"PING\r\n", b"*1\r\n:1\r\n", b"*1\r\n$-1\r\n"]
+)
+def test_a_client_may_send_only_arrays_of_strings(data):
+    with pytest.raises(resp.Malformed):
+        fed(resp.Reader(commands=True), [data], resp.MORE)
+
+
+def test_what_is_written_is_read_again():
+    words = [b"Q.DO", b"key", b"", b"a\r\nb"]
+    assert fed(resp.Reader(commands=True), [resp.command(words)], resp.MORE) == [words]
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNKED = HEAD + b'3\r\n{"a\r\n7;x=1\r\n":1}\n\n{\r\n2\r\n}\n\r\n0\r\nT: 1\r\n\r\n'
+SIZED = b"HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\r\na\r\nbHTTP"
+EMPTY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "data, status, lines",
+    [(CHUNKED, 200, [b'{"a":1}', b"", b"{}"]), (SIZED, 503, [b"a", b"b"]), (EMPTY, 503, [])],
+)
+def test_a_body_is_read_by_lines_however_it_is_split(data, status, lines):
+    for pieces in splits(data):
+        answer = http.Answer()
+        assert fed(answer, pieces, http.MORE) == [*lines, http.END] and answer.status == status
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"nonsense\r\n", b"HTTP/1.1 two\r\n", b"HTTP/1.1 200 OK\r\nno header\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"".join(b"h%d: b\r\n" % n for n in range(101)),
+        b"HTTP/1.1 200 OK\r\n" + b"a" * 8193, HEAD + b"zz\r\n", HEAD + b"-1\r\n", HEAD + b"fffffff\r\n",
+        HEAD + b"1\r\nabc\r\n", HEAD + b"\r\n",
+    ],
+    ids=range(12),
+)
+def test_an_answer_that_breaks_http_is_said_to(data):
+    with pytest.raises(http.Malformed):
+        fed(http.Answer(), [data], http.MORE)
+
+
+def test_the_platforms_lines_are_read_however_they_are_split():
+    for pieces in splits(b"OK\r\n* stage 42 1 trial 0.28 310\r\n*\r\n\r\n"):
+        read = fed(platform.Reader(), pieces, None)
+        assert read == [["OK"], ["*", "stage", "42", "1", "trial", "0.28", "310"], ["*"], []]
+
+
+@pytest.mark.parametrize("data", [b"x" * 8193, b"\xff\r\n"])
+def test_a_line_too_long_or_not_of_text_is_malformed(data):
+    with pytest.raises(platform.Malformed):
+        fed(platform.Reader(), [data], None)
+
+
+@pytest.mark.parametrize(
+    "line, told",
+    [
+        ("OK 42 1 trial 0.28 310", (at.COUNTED, (42, 1, at.ON_TRIAL, 0.28, 310_000_000))),
+        ("OK 42 4 rolling_back 0 0.5", (at.COUNTED, (42, 4, at.GOING_BACK, 0.0, 500_000))),
+        ("ERR Throttling", (at.OVER_ALLOWANCE, None)), ("ERR ConditionFailed", (at.MOOT, None)),
+        ("ERR InternalFailure", (at.VOTE_ERRED, None)), ("ERR", (at.VOTE_ERRED, None)),
+    ],
+)
+def test_an_answer_to_a_vote_is_read(line, told):
+    assert platform.answer(line.split()) == told
+
+
+@pytest.mark.parametrize(
+    "line",
+    ["", "YES", "OK", "OK 42 1 trial 0.28", "OK x 1 trial 0.28 1", "OK 42 1 odd 0.28 1",
+     "OK 42 1 trial nan 1", "OK 42 1 trial 2 1", "OK -1 1 trial 1 1", "OK 42 1 trial 1 -5"],
+)
+def test_an_answer_that_makes_no_sense_is_malformed(line):
+    with pytest.raises(platform.Malformed):
+        platform.answer(line.split())
+
+
+def test_a_buffer_grows_and_is_compacted_in_place():
+    buffer = Buffer(8)
+    buffer.add(b"abcdefgh")
+    assert buffer.take(6) == b"abcdef" and buffer.take(3) is None
+    data = buffer.data
+    buffer.add(b"ijklmn")
+    assert buffer.data is data and len(data) == 8 and buffer.take(8) == b"ghijklmn"
+    buffer.add(b"x" * 100)
+    assert buffer.data is data and len(data) == 128 and len(buffer) == 100
