Clients past the bound are pushed back, unused connections make room; tests of the drivers

Lines at fault: Gate.run's wait and Gate.admit's choice of what to close. Excluded: memory (17 MB of 64), CPU (0.12 of a core).

Now half the descriptors are for clients, half for instances; unused connections make room on both sides, a client's only after half a second; a few extra clients are accepted and their lookups given up at once by the balancer's own rule.

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -14,7 +14,10 @@
 
 MOST_ASKS, MOST_UNSENT = 256, 1 << 20  # unanswered commands, unsent bytes; past them no more is read
 SLOWEST = 5  # seconds for which a client may take none of its answers
-SPARE = 32  # descriptors kept for what are no connections of clients or to instances
+EXTRA = 8  # connections past the bound, whose lookups are pushed back
+# Seconds without a lookup after which a connection may make room: at the bound, and past the extra ones. Its
+# next lookup may be on its way, the more likely the sooner after the last answer.
+UNUSED, HARDLY_USED = 0.5, 0.05
 
 
 class Ask:
@@ -29,8 +32,8 @@
 class Client:
     """One client's connection. `room` guards its asks, what is unsent, and the end of its socket."""
 
-    def __init__(self, sock, gate):
-        self.sock, self.gate = sock, gate
+    def __init__(self, sock, gate, extra):
+        self.sock, self.gate, self.extra = sock, gate, extra
         self.reader = resp.Reader(commands=True)
         self.room = threading.Condition()
         self.asks = deque()  # not yet answered in full, in their order
@@ -77,7 +80,8 @@
             return self.put(Ask(self, words, resp.error(f"ERR no lookup: {type(error).__name__}")))
         ask = Ask(self, words, None, lookup)
         self.put(ask)
-        self.gate.desk.tell(self.gate.desk.lookup_arrived, ask, lookup)
+        desk, turned_away = self.gate.desk, self.extra and len(self.gate.clients) > self.gate.most
+        desk.tell(desk.lookup_turned_away if turned_away else desk.lookup_arrived, ask, lookup)
 
     def put(self, ask):
         with self.room:
@@ -110,6 +114,8 @@
                     self.writing = True
                     threading.Thread(target=self.drain, daemon=True).start()
             self.room.notify_all()
+        if self.gate.stopping and self.idle():
+            self.end("stopping")
 
     def drain(self):
         """Writes out all that is unsent, for as long as the client takes some of it now and then."""
@@ -154,8 +160,7 @@
 
     def __init__(self, place, desk, log, counters):
         self.place, self.desk, self.log, self.counters = place, desk, log, counters
-        # Past the first bound an idle connection makes room; past the second, new ones wait to be accepted.
-        self.most, self.limit = place.sockets // 2, place.sockets - place.to_instances - SPARE
+        self.most, self.stopping = place.connections // 2, False
         self.clients, self.room = set(), threading.Condition()
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -166,9 +171,6 @@
 
     def run(self):
         while True:
-            with self.room:
-                while len(self.clients) >= self.limit:
-                    self.room.wait()
             try:
                 sock, _ = self.listener.accept()
             except OSError as error:
@@ -180,20 +182,37 @@
             self.admit(sock)
 
     def admit(self, sock):
+        """Where all within the bound have a lookup, those of a few extra ones are pushed back at once: what
+        waited to be accepted would be late, and was begun nowhere. It could push back what would have found
+        room a moment later."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", SLOWEST, 0))
-        client = Client(sock, self)
+        client = Client(sock, self, extra=not self.made_room())
         with self.room:
             self.clients.add(client)
-            others = list(self.clients - {client}) if len(self.clients) > self.most else []
         self.counters.add("clients accepted")
-        if idle := [other for other in others if other.idle()]:
-            min(idle, key=lambda other: other.since).end("made room")
         try:
             threading.Thread(target=client.run, daemon=True).start()
         except RuntimeError:
             client.close("no thread")
 
+    def made_room(self):
+        """Whether there is room within the bound; past the extra clients it waits until one is gone."""
+        while True:
+            with self.room:
+                clients = list(self.clients)
+            if len(clients) < self.most:
+                return True
+            full = len(clients) >= self.most + EXTRA
+            before = time.monotonic() - (HARDLY_USED if full else UNUSED)
+            idle = [client for client in clients if client.since < before and client.idle()]
+            if idle:
+                min(idle, key=lambda client: client.since).end("made room")
+            if not full:
+                return bool(idle)
+            with self.room:
+                self.room.wait(HARDLY_USED)
+
     def gone(self, client):
         with self.room:
             self.clients.discard(client)
@@ -207,7 +226,8 @@
         self.listener.close()
 
     def close_idle(self):
-        """Ends the clients' connections that stand between lookups; whether any are left."""
+        """Ends the clients' connections as they stand between lookups, from now on; whether any are left."""
+        self.stopping = True
         with self.room:
             clients = list(self.clients)
         for client in clients:
--- a/lemonlead/gateway/desk.py
+++ b/lemonlead/gateway/desk.py
@@ -65,6 +65,12 @@
         lookup.arrived = moment
         self.balancer.lookup_arrived(moment, lookup)
 
+    def lookup_turned_away(self, moment, ask, lookup):
+        """It came past the bound on clients: it is given up as the balancer gives up any."""
+        self.asks[lookup] = ask
+        self.count("taken", lookup)
+        self.balancer.give_up(lookup, self)
+
     def client_left(self, moment, lookups):
         for lookup in lookups:
             if self.asks.pop(lookup, None) is not None:
--- a/lemonlead/gateway/instances.py
+++ b/lemonlead/gateway/instances.py
@@ -78,7 +78,7 @@
     def __init__(self, place, desk, log, counters):
         self.desk, self.log, self.counters = desk, log, counters
         self.idle_time, self.connect_time = int(place.start.idle_time * SPARE), place.start.connect_time
-        self.most, self.open = place.to_instances, 0  # connections that stand or are being made
+        self.most, self.open = place.connections // 2, 0  # connections that stand or are being made
         self.lock = threading.Lock()
         self.pools, self.trips = {}, {}  # by the instance's id; by send
 
@@ -86,12 +86,13 @@
 
     def listed(self, id, address, started):
         """Without an address it drains or is gone. Unused connections to what it was before are closed."""
-        old = self.pools.get(id)
-        if old is not None and (old.address, old.started) != (address, started):
-            del self.pools[id]
-            self.desk.chores.append((self.clear, old))
-        if address is not None and id not in self.pools:
-            self.pools[id] = Pool(address, started)
+        with self.lock:
+            old = self.pools.get(id)
+            if old is not None and (old.address, old.started) != (address, started):
+                del self.pools[id]
+                self.desk.chores.append((self.clear, old))
+            if address is not None and id not in self.pools:
+                self.pools[id] = Pool(address, started)
 
     def trip(self, send, id, words, until):
         trip = Trip(send, self.pools.get(id), words, until)
@@ -142,7 +143,7 @@
                 connection.used = now()
                 pool.unused.append(connection)
             elif connection is not None:
-                ended.append((connection, end))
+                ended.append((connection, "instance gone" if keep else end))
             if connection is not None and end in (at.TIMED_OUT, at.RESET, at.UNCONNECTED):
                 # Guards against a machine that vanished: its open connections stay silent also once it is
                 # back. It could close good ones of a machine that is slow; those cost a new one each.
@@ -201,10 +202,8 @@
             self.end(connection, reason)
         if trip.connection is not None:
             return True
-        with self.lock:
-            if self.open >= self.most:
-                return False
-            self.open += 1
+        if not self.make_room():
+            return False
         try:
             trip.connection = Connection(pool)
         except OSError:  # no descriptor to be had
@@ -215,6 +214,20 @@
         trip.connection.connect(min(trip.until, now() + self.connect_time))
         return True
 
+    def make_room(self):
+        """Counts one connection more; at the bound the one that is longest unused goes. False if none is."""
+        with self.lock:
+            self.open += 1
+            if self.open <= self.most:
+                return True
+            unused = [pool.unused for pool in self.pools.values() if pool.unused]
+            if not unused:
+                self.open -= 1
+                return False
+            oldest = min(unused, key=lambda connections: connections[0].used).popleft()
+        self.end(oldest, "made room")
+        return True
+
     def end(self, connection, reason):
         connection.sock.close()
         with self.lock:
--- a/lemonlead/gateway/place.py
+++ b/lemonlead/gateway/place.py
@@ -11,6 +11,8 @@
 
 EPOCH = time.time_ns() - time.monotonic_ns()  # all machines read one clock: instances' start times are on it
 
+SPARE = 24  # descriptors kept for all that is no connection of a client's or to an instance
+
 
 def now():
     """Nanoseconds that never go back, counted as the machines' clocks were at our start."""
@@ -27,8 +29,7 @@
     listen: tuple
     discovery: tuple
     platform: tuple | None
-    sockets: int  # descriptors that may be open
-    to_instances: int  # of them, the most that may be connections to instances
+    connections: int  # descriptors for clients and instances, half for each
     start: at.Start
     lanes: dict  # by the name that clients give
     customers: dict
@@ -63,7 +64,7 @@
             listen=address(environment.get("ROUTER_LISTEN") or config["listen"]),
             discovery=address(environment.get("ROUTER_DISCOVERY") or config["discovery"]),
             platform=address(desk["address"]) if "address" in desk else None,
-            sockets=sockets, to_instances=sockets * 3 // 8, start=start,
+            connections=max(sockets - SPARE, 2), start=start,
             lanes={lane["Name"]: start.lanes[n] for n, lane in enumerate(told.get("Lanes", []))},
             customers=numbered(customer["Name"] for customer in told.get("Projects", [])),
             zones=numbered(told.get("Areas", [])), kinds=numbered(told.get("Skus", [])),
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -433,3 +433,25 @@
     for member in made.members.values():
         member.shunned_until = 0 if member.id == 7 else NOW + SECOND
     assert made.choose(lookup(), NOW) is made.members[7]
+
+
+@pytest.mark.parametrize(
+    "member, changed, allowed",
+    [
+        (1, lambda made, asked: None, True),
+        (1, lambda made, asked: made.listed(NOW, [line(1, state=at.DRAINING)], False, True), False),
+        (1, lambda made, asked: made.listed(NOW, [line(1, started=NOW)], False, True), False),  # it came back
+        (1, lambda made, asked: made.lookup_left(NOW, asked), False),
+        (1, lambda made, asked: setattr(asked, "hard_stop", NOW), False),
+        (3, lambda made, asked: None, True),
+        (3, lambda made, asked: made.stage_told(NOW, 2, 0, at.ON_TRIAL, 0.0, 0), False),
+        (3, lambda made, asked: made.stage_told(NOW, 2, 0, at.GOING_BACK, 0.0, 0), False),
+        (3, lambda made, asked: made.builds[2].sent[0].extend([NOW] * 2), False),
+    ],
+)
+def test_a_send_that_waited_begins_only_while_it_still_may(member, changed, allowed):
+    made, asked = trial(), lookup()
+    made.builds[2].sent[0] = deque([NOW])
+    send = sent(asked, made.members[member])
+    changed(made, asked)
+    assert made.may_begin(NOW, send) is allowed
--- /dev/null
+++ b/tests/test_drivers.py
@@ -0,0 +1,185 @@
+"""The gateway's drivers, one call at a time, without a network but for a socket pair."""
+
+import socket
+import threading
+from types import SimpleNamespace
+
+import pytest
+from helpers import MS, SETTINGS, lookup, until
+
+from lemonlead import interface as at
+from lemonlead.gateway.counters import Counters
+from lemonlead.gateway.desk import Desk
+from lemonlead.gateway.instances import Connection, Instances, Pool, Trip, passed_on
+from lemonlead.gateway.place import now
+from lemonlead.told import started
+
+WORDS = [b"Q.DO", b"key", b"id", b"c=buy,d=900,t=acme", b"BODY"]
+
+
+class Quiet:
+    def info(self, *_, **more):
+        pass
+
+    warning = error = info
+
+
+def desk():
+    made = Desk(started(SETTINGS, 7, now()), Quiet(), Counters())
+    place = SimpleNamespace(start=started(SETTINGS, 7, now()), connections=8)
+    made.instances = Instances(place, made, Quiet(), made.counters)
+    made.discovery = SimpleNamespace(ask=lambda: None)
+    made.balancer.listed(now(), [at.Instance("i0", 0, 0, 1, 0, at.READY, 1.0, 0)], True, True)
+    made.balancer.stage_told(now(), 1, 0, at.RELEASED, 1.0, 0)
+    made.balancer.next_tick = now() + 10**12
+    return made
+
+
+def trip(made, left=5000 * MS):
+    """A send under way on one end of a socket pair; the other end is the instance."""
+    ours, theirs = socket.socketpair()
+    pool = Pool(("127.0.0.1", 1), 0)
+    connection = Connection(pool)
+    connection.sock.close()
+    connection.sock, connection.used = ours, now()
+    asked = lookup(now=now())
+    send = at.Send(asked, 0, made.balancer.members["i0"], now())
+    asked.sends.append(send)
+    made.asks[asked] = SimpleNamespace(client=SimpleNamespace(flush=lambda: None))
+    made.balancer.members["i0"].out[send] = None
+    under_way = made.instances.trips[send] = Trip(send, pool, WORDS, now() + left)
+    pool.unused.append(connection)
+    made.instances.open += 1
+    return under_way, theirs
+
+
+def test_an_input_and_its_decisions_share_one_moment():
+    made = desk()
+    seen = []
+    made.instances = SimpleNamespace(trip=lambda *a: None, start=lambda _: seen.append(made.balancer.work_in))
+    asked = lookup(now=0)
+    asked.hard_stop = now() + 5000 * MS
+    made.tell(made.lookup_arrived, SimpleNamespace(words=WORDS), asked)
+    assert seen == [asked.work]  # the module knows a new lookup by its moment, and counts its work once
+
+
+def test_a_fault_of_the_balancer_does_not_end_the_thread_that_met_it():
+    made = desk()
+    made.tell(lambda moment: 1 // 0)
+    assert made.counters.read()["faults"] == 1
+
+
+@pytest.mark.parametrize(
+    "answer, end",
+    [
+        (b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", at.SUCCEEDED), (b"-ERR failed\r\n", at.ERRED),
+        (b"-BUSY\r\n", at.REJECTED), (b"*1\r\n$-1\r\n", at.ERRED), (b"$1\r\nv\r\n", at.ERRED),
+        (b"*3\r\n$1\r\nv", at.RESET), (b"x\r\n", at.RESET), (b"", at.RESET),
+    ],
+)
+def test_how_a_send_ends_by_what_comes_back(answer, end):
+    made = desk()
+    under_way, theirs = trip(made)
+    theirs.sendall(answer)
+    theirs.shutdown(socket.SHUT_WR)
+    made.instances.reach = lambda it: setattr(it, "connection", it.pool.unused.pop()) or True
+    assert made.instances.attempt(under_way)[0] == end and under_way.written
+
+
+def test_a_send_that_nobody_answers_times_out():
+    made = desk()
+    under_way, theirs = trip(made, left=30 * MS)
+    assert made.instances.attempt(under_way)[0] == at.TIMED_OUT
+    theirs.close()
+
+
+def test_a_connection_that_breaks_before_the_last_byte_shows_that_nothing_ran():
+    made = desk()
+    under_way, theirs = trip(made)
+
+    def breaks(data, until):
+        raise BrokenPipeError
+
+    under_way.pool.unused[0].write = breaks
+    assert made.instances.attempt(under_way)[0] == at.UNCONNECTED and not under_way.written
+    theirs.close()
+
+
+@pytest.mark.parametrize("spoil", ["over", "drained", "late", "withdrawn"])
+def test_what_may_no_longer_begin_is_not_sent(spoil):
+    made = desk()
+    under_way, theirs = trip(made)
+    asked = under_way.send.lookup
+    if spoil == "over":
+        del made.asks[asked]
+    elif spoil == "drained":
+        made.balancer.listed(now(), [at.Instance("i0", 0, 0, 1, 0, at.DRAINING, 1.0, 0)], False, True)
+    elif spoil == "late":
+        asked.hard_stop = now()
+    else:
+        made.instances.withdraw(under_way.send)
+    assert made.instances.attempt(under_way)[0] == at.NOT_SENT
+    theirs.setblocking(False)
+    with pytest.raises(BlockingIOError):
+        theirs.recv(1)
+
+
+@pytest.mark.parametrize("spoil", ["closed", "an answer that nobody awaits", "unused for too long"])
+def test_an_unused_connection_that_is_spoilt_is_replaced_before_anything_is_written(monkeypatch, spoil):
+    made = desk()
+    under_way, theirs = trip(made)
+    old = under_way.pool.unused[0]
+    old.used = now()
+    if spoil == "closed":
+        theirs.close()
+    elif spoil == "unused for too long":
+        old.used -= made.instances.idle_time + MS
+    else:
+        theirs.sendall(b"+OK\r\n")
+    monkeypatch.setattr(Connection, "connect", lambda self, until: None)
+    assert made.instances.reach(under_way)
+    assert under_way.connection is not old and old.sock.fileno() < 0 and made.instances.open == 1
+
+
+def test_after_a_failure_connections_unused_since_before_are_closed():
+    made = desk()
+    under_way, theirs = trip(made)
+    pool = under_way.pool
+    under_way.connection = pool.unused.pop()
+    stale, fresh = Connection(pool), Connection(pool)
+    stale.used, fresh.used = under_way.send.at - 1, under_way.send.at + 1
+    pool.unused.extend([stale, fresh])
+    made.instances.open = 3
+    made.instances.over(under_way, at.TIMED_OUT, None)
+    assert list(pool.unused) == [fresh] and stale.sock.fileno() < 0 and made.instances.open == 1
+    theirs.close()
+
+
+def test_at_the_bound_the_connection_longest_unused_makes_room():
+    made = desk()
+    pools = [Pool(("127.0.0.1", n), 0) for n in (1, 2)]
+    made.instances.pools = dict(enumerate(pools))
+    for pool, used in zip(pools, (5, 3), strict=True):
+        pool.unused.append(Connection(pool))
+        pool.unused[0].used = used
+    made.instances.open = made.instances.most
+    assert made.instances.make_room() and not pools[1].unused and pools[0].unused
+    pools[0].unused.clear()
+    assert not made.instances.make_room() and made.instances.open == made.instances.most
+
+
+def test_withdrawing_wakes_the_send_and_its_late_answer_is_never_read():
+    made = desk()
+    under_way, theirs = trip(made)
+    ended = []
+    made.send_ended = lambda moment, send, end, value: ended.append(end)
+    thread = threading.Thread(target=made.instances.carry, args=(under_way,), daemon=True)
+    thread.start()
+    until(lambda: under_way.written)
+    made.instances.withdraw(under_way.send)
+    thread.join(60)
+    assert theirs.recv(4096) and ended == [at.WITHDRAWN] and not under_way.pool.unused and under_way.connection.sock.fileno() < 0
+
+
+def test_all_but_the_wait_is_passed_on_unchanged():
+    assert passed_on(WORDS, 5) == [b"Q.DO", b"key", b"id", b"c=buy,d=5,t=acme", b"BODY"]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -299,3 +299,24 @@
         capture_output=True, text=True,
     )
     assert done.returncode == 2 and done.stderr.count("\n") == 1 and done.stdout == ""
+
+
+def test_at_the_bound_extra_clients_are_pushed_back_and_unused_ones_make_room(tmp_path):
+    hold = threading.Event()
+    server = InstanceServer(lambda words: hold.wait(60) and served(words[1]))
+    with gateway(tmp_path, server.start(), limits={"sockets": 60}) as ran:  # 18 clients
+        busy = [ran.client().ask(lane="buy") for _ in range(18)]
+        until(lambda: ran.counters().get("taken") == 18)
+        assert ran.client().ask(lane="buy").read().startswith(b"BUSY")
+        hold.set()
+        for client in busy:
+            client.read()
+
+        def served_again():
+            client = ran.client()
+            answer = client.ask().read()
+            client.sock.close()
+            return answer == b"aa"
+
+        until(served_again)
+        until(lambda: "made room" in ran.log())
