--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -178,7 +178,8 @@
     until(lambda: under_way.written)
     made.instances.withdraw(under_way.send)
     thread.join(60)
-    assert theirs.recv(4096) and ended == [at.WITHDRAWN] and not under_way.pool.unused and under_way.connection.sock.fileno() < 0
+    assert theirs.recv(4096) and ended == [at.WITHDRAWN]
+    assert not under_way.pool.unused and under_way.connection.sock.fileno() < 0
 
 
 def test_all_but_the_wait_is_passed_on_unchanged():
