--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -6,10 +6,10 @@
 
 from .. import interface as at
 from . import http
-from .pause import Pause
 from .place import address
+from .upkeep import CONNECTS, Pause, reason_for_end
 
-SILENCE = 5.0  # seconds without a line after which a watch is dead; one comes every 2 s
+SILENCE = 4.5  # seconds without a line after which a watch is dead; one comes every 2 s
 
 
 class Discovery:
@@ -26,18 +26,9 @@
         while True:
             self.wanted.wait()
             self.wanted.clear()
-            try:
-                reason = self.watch()
-            except http.Malformed as error:
-                reason = f"malformed: {error}"
-            except TimeoutError:
-                reason = "silent"
-            except OSError as error:
-                reason = type(error).__name__
-            except Exception as error:  # the next watch depends on this thread
-                reason = f"fault: {type(error).__name__}: {error}"
-            self.counters.add("watches ended")
-            self.log.info("watch ended", reason=reason, version=self.version)
+            reason, detail = reason_for_end(self.watch)
+            self.counters.add(f"watches ended: {reason}")
+            self.log.info("watch ended", reason=reason, detail=detail, version=self.version)
             self.pause.wait()
             self.desk.tell(self.desk.balancer.list_failed)
 
@@ -45,8 +36,9 @@
         host, port = self.place.discovery
         query = f"/api/targets?stream=1&index={self.version}"
         with socket.socket() as sock:
-            sock.settimeout(SILENCE)
+            sock.settimeout(CONNECTS)
             sock.connect((host, port))
+            sock.settimeout(SILENCE)
             sock.sendall(f"GET {query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
             answer = http.Answer()
             while True:
@@ -54,12 +46,12 @@
                     with answer.buffer.room() as room:
                         count = sock.recv_into(room)
                     if not count:
-                        return "closed by discovery"
+                        return "closed"
                     answer.buffer.filled(count)
                 if answer.status != 200:
-                    return f"status {answer.status}"
+                    return "unavailable"
                 if line is http.END:
-                    return "watch over"
+                    return "over"
                 if line:
                     self.told(line)
 
--- a/lemonlead/gateway/releases.py
+++ b/lemonlead/gateway/releases.py
@@ -6,7 +6,7 @@
 
 from .. import interface as at
 from . import platform
-from .pause import Pause
+from .upkeep import CONNECTS, Pause, reason_for_end
 
 SILENCE = 3.5  # seconds without a sign of life after which news are cut off; one comes each second
 
@@ -25,36 +25,28 @@
 
     def hear(self):
         while True:
-            try:
-                reason = self.listen()
-            except platform.Malformed as error:
-                reason = f"malformed: {error}"
-            except TimeoutError:
-                reason = "silent"
-            except OSError as error:
-                reason = type(error).__name__
-            except Exception as error:  # news depend on this thread
-                reason = f"fault: {type(error).__name__}: {error}"
-            self.counters.add("news connections ended")
-            self.log.info("news ended", reason=reason)
+            reason, detail = reason_for_end(self.listen)
+            self.counters.add(f"news ended: {reason}")
+            self.log.info("news ended", reason=reason, detail=detail)
             self.pause.wait()
 
     def listen(self):
         with socket.socket() as sock:
-            sock.settimeout(SILENCE)
+            sock.settimeout(CONNECTS)
             sock.connect(self.place.platform)
+            sock.settimeout(SILENCE)
             sock.sendall(b"NOTIFY\r\n")
             reader = platform.Reader()
             while True:
                 words = self.words(sock, reader)
                 if words is None:
-                    return "closed by platform"
+                    return "closed"
                 if words[:2] == ["*", "stage"]:
                     self.counters.add("news told")
                     self.desk.tell(self.desk.balancer.stage_told, *platform.stage(words[2:]))
                     self.pause.worked()
                 elif words[:1] not in (["*"], ["OK"]):
-                    return "refused: " + " ".join(words)[:100]
+                    raise platform.Malformed("no news: " + " ".join(words)[:100])
 
     def words(self, sock, reader, until=None):
         while (words := reader.next()) is None:
--- a/lemonlead/told.py
+++ b/lemonlead/told.py
@@ -4,7 +4,7 @@
 
 from . import interface as at
 
-NS = 1_000_000  # nanoseconds in one of the settings' milliseconds
+NS = 1_000_000  # nanoseconds in one of the settings' and the wire's milliseconds
 EFFECTS = {"idempotent": at.HARMLESS, "deduplicated": at.STAMPED}
 
 
--- a/lemonlead/wirehost/codec.py
+++ b/lemonlead/wirehost/codec.py
@@ -4,8 +4,6 @@
 
 import struct
 
-NS = 1_000_000  # nanoseconds in one of the wire's milliseconds
-
 
 class BadFrame(Exception):
     """What was read is not a frame of this wire."""
--- a/lemonlead/wirehost/host.py
+++ b/lemonlead/wirehost/host.py
@@ -5,8 +5,8 @@
 
 from .. import interface as at_door
 from ..balance import Balancer
-from ..told import in_ns, started
-from .codec import NS, ROW, BadFrame, Reply, cut
+from ..told import NS, in_ns, started
+from .codec import ROW, BadFrame, Reply, cut
 
 _ENDS = {
     200: at_door.SUCCEEDED, 500: at_door.ERRED, 503: at_door.REJECTED, 504: at_door.TIMED_OUT,
