--- a/lemonlead/gateway/buffer.py
+++ b/lemonlead/gateway/buffer.py
@@ -1,6 +1,9 @@
 """The bytes that a connection has brought and that are not used yet."""
 
 
+KEPT = 8192  # bytes that a buffer keeps once it is empty, so that one large command does not cost for good
+
+
 class Buffer:
     """One a connection. It grows as it needs to and is compacted in place."""
 
@@ -15,6 +18,7 @@
         """Where the next bytes go; `filled` then tells how many came."""
         if self.start == self.end:
             self.start = self.end = 0
+            del self.data[KEPT:]
         if self.end == len(self.data):
             if 2 * self.start >= len(self.data):
                 self.data[: len(self)] = self.data[self.start : self.end]
--- a/lemonlead/gateway/upkeep.py
+++ b/lemonlead/gateway/upkeep.py
@@ -3,7 +3,7 @@
 import random
 import time
 
-CONNECTS = 1.0  # seconds: what has not come up by then is tried anew, so as to be early once it can be reached
+CONNECTS = 1.0  # seconds; what has not come up by then is tried anew, to be early once it can be reached
 REASONS = {ConnectionRefusedError: "refused", ConnectionResetError: "reset", BrokenPipeError: "reset"}
 
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -4,7 +4,7 @@
 
 from lemonlead import interface as at
 from lemonlead.gateway import http, platform, resp
-from lemonlead.gateway.buffer import Buffer
+from lemonlead.gateway.buffer import KEPT, Buffer
 
 
 def fed(machine, pieces, more):
@@ -147,3 +147,5 @@
     assert buffer.data is data and len(data) == 8 and buffer.take(8) == b"ghijklmn"
     buffer.add(b"x" * 100)
     assert buffer.data is data and len(data) == 128 and len(buffer) == 100
+    buffer.add(b"x" * 20000)
+    assert buffer.take(20100) and len(buffer.room()) == KEPT and buffer.data is data
