A connection is ended as idle only where nothing read or unread would be lost with it

Lines at fault: Client.read and Client.idle. Bytes are now taken from the socket under the lock that the check holds. Also: one chore that fails no longer drops those after it, a connection reset before it is looked at no longer ends the listener, the timer survives a fault of the module.

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -38,6 +38,7 @@
         self.room = threading.Condition()
         self.asks = deque()  # not yet answered in full, in their order
         self.unsent = bytearray()
+        self.busy = False  # what has come is being read and told
         self.writing = False  # a thread writes out what the client did not take at once
         self.reason = None  # why we ended it
         self.since = time.monotonic()  # when it last got an answer
@@ -58,14 +59,20 @@
             self.close(reason)
 
     def read(self):
+        """What has come is taken from the socket under `room` only, so that a connection that is found idle
+        there has brought nothing that would be lost by ending it."""
         while True:
-            with self.reader.buffer.room() as room:
-                count = self.sock.recv_into(room)
-            if not count:
-                return "client closed"
-            self.reader.buffer.filled(count)
+            self.sock.recv(1, socket.MSG_PEEK)
+            with self.room:
+                with self.reader.buffer.room() as room:
+                    count = self.sock.recv_into(room)
+                if not count:
+                    return "client closed"
+                self.reader.buffer.filled(count)
+                self.busy = True
             while (words := self.reader.next()) is not resp.MORE:
                 self.take(words)
+            self.busy = False
 
     def take(self, words):
         arrived, name = now(), words[0].upper()
@@ -91,16 +98,25 @@
         if ask.answer is not None:
             self.flush()
 
-    def idle(self):
-        """Whether it stands between lookups and nothing has come that is not read."""
+    def idle(self, since=None):
+        """Whether it stands between lookups, also since then, and nothing has come that is not read. A part
+        of a command does not keep it for longer than SLOWEST."""
         with self.room:
-            if self.asks or self.unsent or len(self.reader.buffer) or self.reason is not None:
+            part = len(self.reader.buffer) and time.monotonic() - self.since < SLOWEST
+            if self.asks or self.unsent or self.busy or part or self.reason is not None:
+                return False
+            if since is not None and self.since >= since:
                 return False
             try:
                 return not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
             except OSError:
                 return True
 
+    def end_if_idle(self, reason):
+        with self.room:
+            if self.idle():
+                self.end(reason)
+
     def flush(self):
         """Writes what is next to be answered; what the client does not take at once goes by a thread."""
         with self.room:
@@ -111,11 +127,18 @@
                 with contextlib.suppress(OSError):
                     del self.unsent[: self.sock.send(self.unsent, socket.MSG_DONTWAIT)]
                 if self.unsent and self.reason is None:
-                    self.writing = True
-                    threading.Thread(target=self.drain, daemon=True).start()
+                    self.write_later()
             self.room.notify_all()
-        if self.gate.stopping and self.idle():
-            self.end("stopping")
+        if self.gate.stopping:
+            self.end_if_idle("stopping")
+
+    def write_later(self):
+        try:
+            self.writing = True
+            threading.Thread(target=self.drain, daemon=True).start()
+        except RuntimeError:
+            self.writing = False
+            self.end("no thread")
 
     def drain(self):
         """Writes out all that is unsent, for as long as the client takes some of it now and then."""
@@ -179,7 +202,10 @@
                 self.log.warning("accept failed", reason=str(error))
                 time.sleep(0.05)
                 continue
-            self.admit(sock)
+            try:
+                self.admit(sock)
+            except OSError:  # it was reset before it was looked at
+                sock.close()
 
     def admit(self, sock):
         """Where all within the bound have a lookup, those of a few extra ones are pushed back at once: what
@@ -205,9 +231,9 @@
                 return True
             full = len(clients) >= self.most + EXTRA
             before = time.monotonic() - (HARDLY_USED if full else UNUSED)
-            idle = [client for client in clients if client.since < before and client.idle()]
+            idle = [client for client in clients if client.idle(before)]
             if idle:
-                min(idle, key=lambda client: client.since).end("made room")
+                min(idle, key=lambda client: client.since).end_if_idle("made room")
             if not full:
                 return bool(idle)
             with self.room:
@@ -231,8 +257,7 @@
         with self.room:
             clients = list(self.clients)
         for client in clients:
-            if client.idle():
-                client.end("stopping")
+            client.end_if_idle("stopping")
         return bool(clients)
 
     def lookup(self, arrived, name, words):
--- a/lemonlead/gateway/desk.py
+++ b/lemonlead/gateway/desk.py
@@ -2,7 +2,6 @@
 
 import threading
 import traceback
-from functools import partial
 
 from .. import interface as at
 from ..balance import Balancer
@@ -22,7 +21,7 @@
         self.asks = {}  # the lookups that want an answer: by lookup, the client's command
         self.chores = []
         self.instances = self.discovery = self.releases = None  # the drivers, set before the first call
-        self.armed = 0  # when the timer is to look next; 0 while it does not wait
+        self.wake = 0  # when the timer is to ask again
 
     # ---- for the drivers
 
@@ -31,7 +30,10 @@
         with self.lock:
             chores = self.turn(happened, *values)
         for chore, *values in chores:
-            chore(*values)
+            try:
+                chore(*values)
+            except Exception:  # the chores after it are other lookups'
+                self.fault(traceback.format_exc())
 
     def turn(self, happened, *values):
         moment = now()
@@ -41,12 +43,11 @@
                 pass
             wake = self.balancer.wake_at()
         except Exception:  # no input may end the thread that brought it
-            self.counters.add("faults")
-            self.chores.append((partial(self.log_line.error, "fault", reason=traceback.format_exc()),))
+            self.chores.append((self.fault, traceback.format_exc()))
             wake = moment + 1_000_000_000
-        if wake < self.armed:
-            self.armed = wake
+        if wake < self.wake:
             self.lock.notify()
+        self.wake = wake
         chores, self.chores = self.chores, []
         return chores
 
@@ -54,11 +55,14 @@
         """The timer's thread: asks again when the balancer said, though nothing happened."""
         while True:
             with self.lock:
-                self.armed = self.balancer.wake_at()
-                if (wait := self.armed - now()) > 0:
+                while (wait := self.wake - now()) > 0:
                     self.lock.wait(min(wait / 1e9, 60.0))
             self.tell(lambda moment: None)
 
+    def fault(self, text):
+        self.counters.add("faults")
+        self.log_line.error("fault", reason=text)
+
     def lookup_arrived(self, moment, ask, lookup):
         self.asks[lookup] = ask
         self.count("taken", lookup)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,6 +3,7 @@
 Everything waits on conditions; the one clock that matters is the hard stop where a test is about it.
 """
 
+import contextlib
 import signal
 import socket
 import subprocess
@@ -247,6 +248,27 @@
         assert (said["taken"], said["succeeded"], said["open"]) == (1, 1, 0)
 
 
+def test_clients_that_go_on_asking_after_sigterm_lose_nothing(tmp_path):
+    with gateway(tmp_path, InstanceServer().start()) as ran:
+        until(lambda: ran.platform.asked == 1)  # that it has started in full
+        ran.clients = [ran.client() for _ in range(4)]
+        answered = []
+
+        def go_on(client):
+            with contextlib.suppress(OSError):
+                while client.ask().read() == b"aa":
+                    answered.append(client)
+
+        threads = [threading.Thread(target=go_on, args=(client,), daemon=True) for client in ran.clients]
+        for thread in threads:
+            thread.start()
+        until(lambda: set(answered) == set(ran.clients))
+        ran.process.send_signal(signal.SIGTERM)
+        assert ran.process.wait(60) == 0
+        said = counted(ran.log(), "stopped")
+        assert said["taken"] == said["succeeded"] and said["open"] == 0 and "clients_ended_stopping" in said
+
+
 def test_the_counters_add_up(tmp_path):
     def react(words):
         return {b"no": b"-ERR failed\r\n", b"full": b"-BUSY\r\n"}.get(words[1]) or served(words[1])
