--- a/lemonlead/gateway/instances.py
+++ b/lemonlead/gateway/instances.py
@@ -128,7 +128,7 @@
 
     def carry(self, trip):
         try:
-            end, value = self.attempt(trip)
+            end, value = self.outcome(trip)
         except Exception as error:  # a send always ends, and what may have run is never said not to have
             self.log.error("fault", reason=f"{type(error).__name__}: {error}")
             end, value = (at.RESET if trip.written else at.UNCONNECTED), None
@@ -153,7 +153,7 @@
             self.end(connection, reason)
         self.desk.tell(self.desk.send_ended, trip.send, end, value)
 
-    def attempt(self, trip):
+    def outcome(self, trip):
         """How the send ended, and the value if it succeeded."""
         try:
             if not self.reach(trip) or trip.withdrawn or not self.desk.may_begin(trip.send):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -181,7 +181,7 @@
 
     def __init__(self, react=None, **more):
         super().__init__(**more)
-        self.react = react or (lambda words: served(words[1]))
+        self.react = react or (lambda words: gives(words[1]))
         self.got = []
 
     def serve(self, sock):
@@ -195,7 +195,7 @@
                 sock.sendall(answer)
 
 
-def served(value):
+def gives(value):
     return b"*3\r\n" + resp.bulk(value) + b"$-1\r\n$-1\r\n"
 
 
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -83,13 +83,13 @@
     theirs.sendall(answer)
     theirs.shutdown(socket.SHUT_WR)
     made.instances.reach = lambda it: setattr(it, "connection", it.pool.unused.pop()) or True
-    assert made.instances.attempt(under_way)[0] == end and under_way.written
+    assert made.instances.outcome(under_way)[0] == end and under_way.written
 
 
 def test_a_send_that_nobody_answers_times_out():
     made = desk()
     under_way, theirs = trip(made, left=30 * MS)
-    assert made.instances.attempt(under_way)[0] == at.TIMED_OUT
+    assert made.instances.outcome(under_way)[0] == at.TIMED_OUT
     theirs.close()
 
 
@@ -101,7 +101,7 @@
         raise BrokenPipeError
 
     under_way.pool.unused[0].write = breaks
-    assert made.instances.attempt(under_way)[0] == at.UNCONNECTED and not under_way.written
+    assert made.instances.outcome(under_way)[0] == at.UNCONNECTED and not under_way.written
     theirs.close()
 
 
@@ -118,7 +118,7 @@
         asked.hard_stop = now()
     else:
         made.instances.withdraw(under_way.send)
-    assert made.instances.attempt(under_way)[0] == at.NOT_SENT
+    assert made.instances.outcome(under_way)[0] == at.NOT_SENT
     theirs.setblocking(False)
     with pytest.raises(BlockingIOError):
         theirs.recv(1)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,7 +12,7 @@
 import time
 
 import pytest
-from helpers import SETTINGS, InstanceServer, counted, entry, gateway, served, until
+from helpers import SETTINGS, InstanceServer, counted, entry, gateway, gives, until
 
 from lemonlead.gateway import resp
 
@@ -41,7 +41,7 @@
             later.wait(60)
         else:
             later.set()
-        return served(words[1])
+        return gives(words[1])
 
     with gateway(tmp_path, InstanceServer(react).start()) as ran:
         client = ran.client().ask(b"first").ask(b"second").write(resp.command([b"PING"])).ask(b"third")
@@ -132,30 +132,25 @@
         began = time.monotonic()
         assert ran.client().ask(lane=lane, wait=400).read() == ending
         assert time.monotonic() - began >= 0.39
-        until(lambda: counted_sends(ran)["sends_timed_out"] == 1)
+        until(lambda: ran.counters().get("sends_timed_out") == 1)
         asked.set()
 
 
-def counted_sends(ran):
-    return {"sends_timed_out": 0, **ran.counters()}
-
-
 def test_what_one_instance_lets_wait_is_asked_of_another(tmp_path):
     silent = threading.Event()
 
     def react(words):
         if not silent.is_set():  # whichever is asked first
             silent.set()
-            time.sleep(0)
             threading.Event().wait(30)
-        return served(b"second")
+        return gives(b"second")
 
     with gateway(tmp_path, InstanceServer(react).start(), InstanceServer(react).start()) as ran:
         assert ran.client().ask().read() == b"second"
 
 
 def test_a_drain_told_while_a_send_waits_for_its_connection_is_kept(tmp_path):
-    drained, other = InstanceServer(backlog=0), InstanceServer(lambda words: served(b"other")).start()
+    drained, other = InstanceServer(backlog=0), InstanceServer(lambda words: gives(b"other")).start()
     host, port = drained.address.split(":")
     plugs = [socket.socket() for _ in range(8)]  # fill the queue of connections: further ones do not come up
     for plug in plugs:
@@ -163,28 +158,29 @@
         plug.connect_ex((host, int(port)))
     with gateway(tmp_path, drained, other, entries=[entry("i0", drained)]) as ran:
         client = ran.client().ask(lane="buy")
-        until(lambda: counted_sends(ran).get("connections_made") == 1)
+        until(lambda: ran.counters().get("connections_made") == 1)
         ran.discovery.tell(entry("i0", drained, "draining"), entry("i1", other))
-        until(lambda: counted_sends(ran).get("lists_told", 0) >= 2)
+        until(lambda: ran.counters().get("lists_told", 0) >= 2)
         for plug in plugs:
             plug.close()
         drained.start()
         assert client.read() == b"other" and not drained.got
-        assert counted_sends(ran)["sends_not_sent"] + counted_sends(ran).get("sends_unconnected", 0) == 1
+        said = ran.counters()
+        assert said.get("sends_not_sent", 0) + said.get("sends_unconnected", 0) == 1
 
 
 def test_the_watch_goes_on_from_the_last_version_after_a_cut(tmp_path):
-    old = InstanceServer(lambda words: served(b"old")).start()
-    new = InstanceServer(lambda words: served(b"new")).start()
+    old = InstanceServer(lambda words: gives(b"old")).start()
+    new = InstanceServer(lambda words: gives(b"new")).start()
     with gateway(tmp_path, old, new, entries=[entry("i0", old)]) as ran:
         until(lambda: ran.discovery.asked == ["/api/targets?stream=1&index=1"])
         ran.discovery.tell(entry("i0", old, build=1))
-        until(lambda: counted_sends(ran).get("lists_told", 0) >= 2)
+        until(lambda: ran.counters().get("lists_told", 0) >= 2)
         ran.discovery.cut()
         until(lambda: ran.discovery.asked[1:] == ["/api/targets?stream=1&index=2"])
         ran.discovery.tell(entry("i0", old), version=1)  # older than what is known: tells nothing
         ran.discovery.tell(entry("i0", old, "removed"), entry("i1", new), version=3)
-        until(lambda: counted_sends(ran).get("lists_told", 0) >= 4)
+        until(lambda: ran.counters().get("lists_told", 0) >= 4)
         assert ran.client().ask().read() == b"new" and not old.got
 
 
@@ -233,7 +229,7 @@
     def react(words):
         if words[1] == b"held":
             hold.wait(60)
-        return served(words[1])
+        return gives(words[1])
 
     with gateway(tmp_path, InstanceServer(react).start()) as ran:
         held, unused = ran.client().ask(b"held"), ran.client()
@@ -270,15 +266,16 @@
 
 
 def test_the_counters_add_up(tmp_path):
+    gate = threading.Event()
+
     def react(words):
-        return {b"no": b"-ERR failed\r\n", b"full": b"-BUSY\r\n"}.get(words[1]) or served(words[1])
+        if words[1] == b"stuck":
+            gate.wait(60)
+        return {b"no": b"-ERR failed\r\n", b"full": b"-BUSY\r\n"}.get(words[1], gives(words[1]))
 
-    gate = threading.Event()
-    server = InstanceServer(lambda words: gate.wait(60) and None if words[1] == b"stuck" else react(words))
-    with gateway(tmp_path, server.start()) as ran:
+    with gateway(tmp_path, InstanceServer(react).start()) as ran:
         for key in (b"a", b"no", b"full", b"b"):
             ran.client().ask(key, "buy").read()
-            time.sleep(0)
         ran.client().ask(b"stuck")
         gone = ran.client().ask(b"stuck")
         until(lambda: ran.counters()["taken"] == 6)
@@ -291,7 +288,7 @@
 
 
 def test_a_client_that_reads_nothing_holds_up_nobody_else(tmp_path):
-    with gateway(tmp_path, InstanceServer(lambda words: served(b"x" * 65536)).start()) as ran:
+    with gateway(tmp_path, InstanceServer(lambda words: gives(b"x" * 65536)).start()) as ran:
         slow = ran.client()
         slow.sock.settimeout(5)
         with pytest.raises(TimeoutError):  # in the end it is not read from any more either
@@ -325,7 +322,7 @@
 
 def test_at_the_bound_extra_clients_are_pushed_back_and_unused_ones_make_room(tmp_path):
     hold = threading.Event()
-    server = InstanceServer(lambda words: hold.wait(60) and served(words[1]))
+    server = InstanceServer(lambda words: hold.wait(60) and gives(words[1]))
     with gateway(tmp_path, server.start(), limits={"sockets": 60}) as ran:  # 18 clients
         busy = [ran.client().ask(lane="buy") for _ in range(18)]
         until(lambda: ran.counters().get("taken") == 18)
