One receive, one Malformed, one place that logs a fault

Found on reading the whole change again; behaviour as it was, no assertion changed. - The four copies of the receive loop's body are Buffer.fill, which is given a call and so still knows no socket. - Three Malformed classes and the conversions between them are one, raised by Buffer.line itself. - Milliseconds become nanoseconds by told.in_ns and NS everywhere; three places had arithmetic of their own. - A fault in a send, a vote or a client's thread goes through Desk.fault like the others: counted, with its traceback. - instances.SPARE, a share, had the name of place.SPARE, a count: now IDLE_SHARE. A test read the settings twice.

--- a/lemonlead/gateway/buffer.py
+++ b/lemonlead/gateway/buffer.py
@@ -4,6 +4,10 @@
 KEPT = 8192  # bytes that a buffer keeps once it is empty, so that one large command does not cost for good
 
 
+class Malformed(ValueError):
+    """What was read breaks its protocol, or is past a limit."""
+
+
 class Buffer:
     """One a connection. It grows as it needs to and is compacted in place."""
 
@@ -30,6 +34,13 @@
     def filled(self, count):
         self.end += count
 
+    def fill(self, read_into):
+        """Has the next bytes written by a call such as a socket's `recv_into`; how many came."""
+        with self.room() as room:
+            count = read_into(room)
+        self.filled(count)
+        return count
+
     def add(self, data):
         while data:
             with self.room() as room:
@@ -46,10 +57,10 @@
         return bytes(self.data[self.start - count : self.start])
 
     def line(self, longest):
-        """The next line without its CRLF, None while it is not whole; ValueError if it is too long."""
+        """The next line without its CRLF, None while it is not whole; Malformed if it is too long."""
         at = self.data.find(b"\r\n", self.start, self.end)
         if (len(self) if at < 0 else at - self.start) > longest:
-            raise ValueError(f"a line of over {longest} bytes")
+            raise Malformed(f"a line of over {longest} bytes")
         if at < 0:
             return None
         line = bytes(self.data[self.start : at])
--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -6,9 +6,11 @@
 import struct
 import threading
 import time
+import traceback
 from collections import deque
 
 from .. import interface as at
+from ..told import in_ns
 from . import resp
 from .place import now
 
@@ -55,6 +57,8 @@
                     self.room.wait()
         except OSError:
             reason = "reset"
+        except Exception:
+            self.gate.desk.fault(traceback.format_exc())
         finally:
             self.close(reason)
 
@@ -64,11 +68,8 @@
         while True:
             self.sock.recv(1, socket.MSG_PEEK)
             with self.room:
-                with self.reader.buffer.room() as room:
-                    count = self.sock.recv_into(room)
-                if not count:
+                if not self.reader.buffer.fill(self.sock.recv_into):
                     return "client closed"
-                self.reader.buffer.filled(count)
                 self.busy = True
             while (words := self.reader.next()) is not resp.MORE:
                 self.take(words)
@@ -271,5 +272,5 @@
         if (lane.effect == at.HARMLESS) != (name == b"Q.ASK"):
             raise ValueError("this lane goes by the other command")
         customer = self.place.customers.get(said.get("t"), -1)
-        stop = arrived + int(wait * 1e6)
+        stop = arrived + in_ns(wait)
         return at.Lookup(id, lane, customer, key, arrived, stop, int(work * 1e3), said.get("r") == "1")
--- a/lemonlead/gateway/desk.py
+++ b/lemonlead/gateway/desk.py
@@ -5,6 +5,7 @@
 
 from .. import interface as at
 from ..balance import Balancer
+from ..told import NS
 from . import resp
 from .place import now
 
@@ -44,7 +45,7 @@
             wake = self.balancer.wake_at()
         except Exception:  # no input may end the thread that brought it
             self.chores.append((self.fault, traceback.format_exc()))
-            wake = moment + 1_000_000_000
+            wake = moment + 1000 * NS
         if wake < self.wake:
             self.lock.notify()
         self.wake = wake
@@ -113,7 +114,7 @@
         self.chores.append((self.instances.withdraw, send))
 
     def push_back(self, lookup, hold_off):
-        pause = b" %d" % (hold_off // 1_000_000) if hold_off >= 1_000_000 else b""
+        pause = b" %d" % (hold_off // NS) if hold_off >= NS else b""
         self.answer(lookup, "pushed back", b"-BUSY%s\r\n" % pause)
 
     def abort(self, lookup):
--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -5,6 +5,7 @@
 import threading
 
 from .. import interface as at
+from ..told import in_ns
 from . import http
 from .place import address
 from .upkeep import CONNECTS, Pause, reason_for_end
@@ -43,11 +44,8 @@
             answer = http.Answer()
             while True:
                 while (line := answer.next()) is http.MORE:
-                    with answer.buffer.room() as room:
-                        count = sock.recv_into(room)
-                    if not count:
+                    if not answer.buffer.fill(sock.recv_into):
                         return "closed"
-                    answer.buffer.filled(count)
                 if answer.status != 200:
                     return "unavailable"
                 if line is http.END:
@@ -74,7 +72,7 @@
                 entry["id"], self.place.zones.get(entry.get("zone"), -1),
                 self.place.kinds.get(entry.get("kind"), -1), int(entry.get("revision_no") or 0),
                 int(entry.get("cell") or 0), state, float(entry.get("weight", 1.0)),
-                int(float(entry.get("started_ms") or 0) * 1e6),
+                in_ns(float(entry.get("started_ms") or 0)),
             ))
             addresses[entry["id"]] = address(entry["addr"]) if state == at.READY else None, lines[-1].started
         return int(update["version"]), lines, addresses
--- a/lemonlead/gateway/http.py
+++ b/lemonlead/gateway/http.py
@@ -1,15 +1,11 @@
 """One answer of HTTP/1.1: a state machine that is fed bytes and gives the lines of its body."""
 
-from .buffer import Buffer
+from .buffer import Buffer, Malformed
 
 LONGEST_LINE, MOST_HEADERS, LONGEST_CHUNK, LONGEST_BODY_LINE = 8192, 100, 1 << 22, 1 << 22
 MORE, END = object(), object()  # no whole line yet; the body is over
 
 
-class Malformed(ValueError):
-    """What was read is not an answer of HTTP/1.1, or is past a limit."""
-
-
 class Answer:
     """Bytes go into `buffer`; `next` gives each line of the body once it is whole, then END."""
 
@@ -37,8 +33,8 @@
                     return line or END
                 if not self.state():
                     return MORE
-        except ValueError as error:
-            raise error if isinstance(error, Malformed) else Malformed(str(error)) from None
+        except ValueError as error:  # a number that is none, or Malformed as it is
+            raise Malformed(str(error)) from None
 
     def status_line(self):
         if (line := self.buffer.line(LONGEST_LINE)) is None:
--- a/lemonlead/gateway/instances.py
+++ b/lemonlead/gateway/instances.py
@@ -3,13 +3,15 @@
 import contextlib
 import socket
 import threading
+import traceback
 from collections import deque
 
 from .. import interface as at
+from ..told import NS
 from . import resp
 from .place import now
 
-SPARE = 0.9  # an unused connection is closed after this part of the time told, before the instance does
+IDLE_SHARE = 0.9  # an unused connection is closed after this part of the time told, before the instance does
 
 
 class Connection:
@@ -48,11 +50,8 @@
         """The next whole value; raises TimeoutError, OSError or Malformed."""
         while (value := self.reader.next()) is resp.MORE:
             self.wait(until)
-            with self.reader.buffer.room() as room:
-                count = self.sock.recv_into(room)
-            if not count:
+            if not self.reader.buffer.fill(self.sock.recv_into):
                 raise ConnectionResetError
-            self.reader.buffer.filled(count)
         return value
 
 
@@ -77,7 +76,7 @@
 
     def __init__(self, place, desk, log, counters):
         self.desk, self.log, self.counters = desk, log, counters
-        self.idle_time, self.connect_time = int(place.start.idle_time * SPARE), place.start.connect_time
+        self.idle_time, self.connect_time = int(place.start.idle_time * IDLE_SHARE), place.start.connect_time
         self.most, self.open = place.connections // 2, 0  # connections that stand or are being made
         self.lock = threading.Lock()
         self.pools, self.trips = {}, {}  # by the instance's id; by send
@@ -129,8 +128,8 @@
     def carry(self, trip):
         try:
             end, value = self.outcome(trip)
-        except Exception as error:  # a send always ends, and what may have run is never said not to have
-            self.log.error("fault", reason=f"{type(error).__name__}: {error}")
+        except Exception:  # a send always ends, and what may have run is never said not to have
+            self.desk.fault(traceback.format_exc())
             end, value = (at.RESET if trip.written else at.UNCONNECTED), None
         self.over(trip, end, value)
 
@@ -158,7 +157,7 @@
         try:
             if not self.reach(trip) or trip.withdrawn or not self.desk.may_begin(trip.send):
                 return at.NOT_SENT, None
-            wait = max((trip.until - now()) // 1_000_000, 1)
+            wait = max((trip.until - now()) // NS, 1)
             trip.connection.write(resp.command(passed_on(trip.words, wait)), trip.until)
         except OSError:
             return at.UNCONNECTED, None
--- a/lemonlead/gateway/platform.py
+++ b/lemonlead/gateway/platform.py
@@ -2,7 +2,7 @@
 
 from .. import interface as at
 from ..told import in_ns
-from .buffer import Buffer
+from .buffer import Buffer, Malformed
 
 LONGEST_LINE = 8192
 PHASES = {
@@ -12,10 +12,6 @@
 REFUSALS = {"Throttling": at.OVER_ALLOWANCE, "ConditionFailed": at.MOOT}
 
 
-class Malformed(ValueError):
-    """What was read is no line of the platform's."""
-
-
 class Reader:
     def __init__(self):
         self.buffer = Buffer()
@@ -38,10 +34,10 @@
     try:
         build, stage, phase, cap, age = words
         told = int(build), int(stage), PHASES[phase], float(cap), in_ns(float(age))
+        if told[0] < 0 or told[1] < 0 or not 0 <= told[3] <= 1 or told[4] < 0:
+            raise ValueError
     except (ValueError, KeyError, TypeError):
         raise Malformed(f"no state of a build: {words}"[:200]) from None
-    if told[0] < 0 or told[1] < 0 or not 0 <= told[3] <= 1 or told[4] < 0:
-        raise Malformed(f"no state of a build: {words}"[:200])
     return told
 
 
--- a/lemonlead/gateway/releases.py
+++ b/lemonlead/gateway/releases.py
@@ -3,6 +3,7 @@
 import queue
 import socket
 import time
+import traceback
 
 from .. import interface as at
 from . import platform
@@ -52,11 +53,8 @@
         while (words := reader.next()) is None:
             if until is not None:
                 sock.settimeout(max(until - time.monotonic(), 0.001))
-            with reader.buffer.room() as room:
-                count = sock.recv_into(room)
-            if not count:
+            if not reader.buffer.fill(sock.recv_into):
                 return None
-            reader.buffer.filled(count)
         return words
 
     # ---- votes
@@ -66,8 +64,8 @@
             until, vote = self.votes.get()
             try:
                 outcome, news = self.cast(until, vote)
-            except Exception as error:  # votes depend on this thread
-                self.log.error("vote failed", reason=f"fault: {type(error).__name__}: {error}")
+            except Exception:  # votes depend on this thread
+                self.desk.fault(traceback.format_exc())
                 outcome, news = at.UNANSWERED, None
             self.counters.add(f"votes {outcome}")
             build, stage, verdict = vote
--- a/lemonlead/gateway/resp.py
+++ b/lemonlead/gateway/resp.py
@@ -1,15 +1,11 @@
 """RESP2: a state machine that is fed bytes and gives whole values, and the few forms that are written."""
 
-from .buffer import Buffer
+from .buffer import Buffer, Malformed
 
 LONGEST_LINE, LONGEST_BULK, MOST_ITEMS, DEEPEST = 1024, 64 * 1024, 64, 4
 MORE = object()  # no whole value yet
 
 
-class Malformed(ValueError):
-    """What was read is not RESP2, or is past a limit."""
-
-
 class Status(bytes):
     """A simple string."""
 
@@ -49,20 +45,16 @@
 
     def line(self):
         """A value that is one line; None where more belongs to it."""
-        try:
-            line = self.buffer.line(LONGEST_LINE)
-            if line is None:
-                return MORE
-            kind, rest = line[:1], line[1:]
-            if self.commands and kind != (b"$" if self.open else b"*"):
-                raise Malformed("a command is an array of bulk strings")
-            if kind in (b"+", b"-"):
-                return (Status if kind == b"+" else Fault)(rest)
-            if kind not in (b":", b"$", b"*") or not rest.removeprefix(b"-").isdigit():
-                raise Malformed("a line of no known kind")
-            number = int(rest)
-        except ValueError as error:
-            raise error if isinstance(error, Malformed) else Malformed(str(error)) from None
+        if (line := self.buffer.line(LONGEST_LINE)) is None:
+            return MORE
+        kind, rest = line[:1], line[1:]
+        if self.commands and kind != (b"$" if self.open else b"*"):
+            raise Malformed("a command is an array of bulk strings")
+        if kind in (b"+", b"-"):
+            return (Status if kind == b"+" else Fault)(rest)
+        if kind not in (b":", b"$", b"*") or not rest.removeprefix(b"-").isdigit():
+            raise Malformed("a line of no known kind")
+        number = int(rest)
         if kind == b":":
             return number
         if number == -1 and not self.commands:
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -25,8 +25,8 @@
 
 
 def desk():
-    made = Desk(started(SETTINGS, 7, now()), Quiet(), Counters())
     place = SimpleNamespace(start=started(SETTINGS, 7, now()), connections=8)
+    made = Desk(place.start, Quiet(), Counters())
     made.instances = Instances(place, made, Quiet(), made.counters)
     made.discovery = SimpleNamespace(ask=lambda: None)
     made.balancer.listed(now(), [at.Instance("i0", 0, 0, 1, 0, at.READY, 1.0, 0)], True, True)
