A client's connection that we ended takes nothing more: its client sends that lookup again

Observed: on a fresh clone test_clients_that_go_on_asking_after_sigterm_lose_nothing failed, one lookup taken and left. Its log shows the connection ended as stopping and no fault. Line at fault: the read under room did not ask whether we had ended the connection.

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -68,7 +68,8 @@
         while True:
             self.sock.recv(1, socket.MSG_PEEK)
             with self.room:
-                if not self.reader.buffer.fill(self.sock.recv_into):
+                # What came after we ended it is sent again by its client: taken here it might run twice.
+                if self.reason is not None or not self.reader.buffer.fill(self.sock.recv_into):
                     return "client closed"
                 self.busy = True
             while (words := self.reader.next()) is not resp.MORE:
