SIGHUP reads the configuration anew and moves to the addresses that it names

At fault: SIGNALS in gateway/__main__.py did not hold SIGHUP; addresses were read once in place.read. Now upkeep.Upkeep holds the address, socket and pause of the watch and of the news; a move ends both at once. A file that cannot be used changes nothing and leaves a line. A whole list from another service is believed though its version is lower. Lines that begin with * but are no news are malformed, no longer taken as signs of life.

--- a/lemonlead/gateway/__main__.py
+++ b/lemonlead/gateway/__main__.py
@@ -17,7 +17,7 @@
 
 STACK = 256 * 1024
 LINGER = 0.5  # seconds after SIGTERM in which connections still come
-SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
 
 
 def main():
@@ -57,11 +57,26 @@
         threading.Thread(target=thread, daemon=True).start()
     host, port = gate.listener.getsockname()
     log.info("serving", listen=host, port=port, instances=len(known[1]))
-    while signal.sigwait(SIGNALS) == signal.SIGUSR1:
-        log.info("counters", **figures(desk))
+    while (asked := signal.sigwait(SIGNALS)) in (signal.SIGUSR1, signal.SIGHUP):
+        if asked == signal.SIGUSR1:
+            log.info("counters", **figures(desk))
+        else:
+            move(discovery, releases, log)
     return stop(gate, desk, log)
 
 
+def move(discovery, releases, log):
+    """To discovery and the platform where the configuration now has them; all else goes on as it is."""
+    try:
+        to, platform = places.read_again()
+    except places.Unfit as error:
+        return log.warning("configuration unfit", reason=str(error))
+    discovery.move(to)
+    if platform is not None:
+        releases.upkeep.move(platform)
+    log.info("configuration read", discovery=to, platform=platform)
+
+
 def figures(desk):
     with desk.lock:
         counted = {**desk.counters.read(), "open": len(desk.asks)}
--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -1,14 +1,13 @@
 """Discovery: a thread keeps a watch on the list, and opens a new one when the balancer asks for it."""
 
 import json
-import socket
 import threading
 
 from .. import interface as at
 from ..told import in_ns
 from . import http
 from .place import address
-from .upkeep import CONNECTS, Pause, reason_for_end
+from .upkeep import Upkeep
 
 SILENCE = 4.5  # seconds without a line after which a watch is dead; one comes every 2 s
 
@@ -18,49 +17,55 @@
         self.place, self.desk, self.log, self.counters = place, desk, log, counters
         self.wanted = threading.Event()
         self.version = -1
-        self.pause = Pause(place.start.seed, 0.05, 1.0)  # on top of the balancer's own
+        self.upkeep = Upkeep(place.discovery, place.start.seed, 0.05, 1.0)  # on top of the balancer's own
+        self.source = place.discovery  # whose list was last taken
 
     def ask(self):
         self.wanted.set()
 
+    def move(self, to):
+        if self.upkeep.move(to):
+            self.wanted.set()
+
     def run(self):
         while True:
             self.wanted.wait()
             self.wanted.clear()
-            reason, detail = reason_for_end(self.watch)
+            reason, detail = self.upkeep.run(self.watch)
             self.counters.add(f"watches ended: {reason}")
             self.log.info("watch ended", reason=reason, detail=detail, version=self.version)
-            self.pause.wait()
+            self.upkeep.wait()
             self.desk.tell(self.desk.balancer.list_failed)
 
     def watch(self):
-        host, port = self.place.discovery
+        sock = self.upkeep.connected(SILENCE)
+        source = self.upkeep.address
         query = f"/api/targets?stream=1&index={self.version}"
-        with socket.socket() as sock:
-            sock.settimeout(CONNECTS)
-            sock.connect((host, port))
-            sock.settimeout(SILENCE)
-            sock.sendall(f"GET {query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-            answer = http.Answer()
-            while True:
-                while (line := answer.next()) is http.MORE:
-                    if not answer.buffer.fill(sock.recv_into):
-                        return "closed"
-                if answer.status != 200:
-                    return "unavailable"
-                if line is http.END:
-                    return "over"
-                if line:
-                    self.told(line)
+        sock.sendall(f"GET {query} HTTP/1.1\r\nHost: {source[0]}:{source[1]}\r\n\r\n".encode())
+        answer = http.Answer()
+        while True:
+            while (line := answer.next()) is http.MORE:
+                if not answer.buffer.fill(sock.recv_into):
+                    return "closed"
+            if answer.status != 200:
+                return "unavailable"
+            if line is http.END:
+                return "over"
+            if line:
+                self.told(line, source)
 
-    def told(self, line):
+    def told(self, line, source):
         try:
             update = json.loads(line)
             version, lines, addresses = self.read(update)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             raise http.Malformed(f"no list: {type(error).__name__}: {error}") from None
-        self.desk.tell(self.listed, version, lines, addresses, bool(update.get("full")), True)
-        self.pause.worked()
+        whole = bool(update.get("full"))
+        if whole and source != self.source:
+            self.version = -1  # another service may count anew, and its whole list needs no earlier one
+        self.source = source
+        self.desk.tell(self.listed, version, lines, addresses, whole, True)
+        self.upkeep.worked()
 
     def read(self, update):
         """The version, the lines of the list and the instances' addresses from an object of discovery's."""
--- a/lemonlead/gateway/place.py
+++ b/lemonlead/gateway/place.py
@@ -1,5 +1,6 @@
-"""Where a gateway runs and what it is told there: its environment and the configuration, read once."""
+"""Where a gateway runs and what it is told there: its environment and the configuration."""
 
+import contextlib
 import json
 import os
 import time
@@ -50,10 +51,30 @@
     return {name: number for number, name in enumerate(names)}
 
 
-def read(environment=os.environ):
+@contextlib.contextmanager
+def unfit():
+    """Whatever makes the configuration one that cannot be used is said in one way."""
     try:
-        with open(environment["ROUTER_CONFIG"], encoding="utf-8") as file:
-            config = json.load(file)
+        yield
+    except KeyError as error:
+        raise Unfit(f"{error} is missing") from None
+    except (OSError, ValueError, TypeError, AttributeError, RecursionError) as error:
+        raise Unfit(str(error)[:200]) from None
+
+
+def load(environment):
+    with open(environment["ROUTER_CONFIG"], encoding="utf-8") as file:
+        return json.load(file)
+
+
+def platform_of(config):
+    desk = config.get("release_api") or {}
+    return address(desk["address"]) if "address" in desk else None
+
+
+def read(environment=os.environ):
+    with unfit():
+        config = load(environment)
         told, desk = config["settings"], config.get("release_api") or {}
         start = started(told, int(config["seed"], 16), now())
         start.ask_for_list = True  # on sockets the list comes to those alone that ask for it
@@ -63,7 +84,7 @@
             name=environment.get("ROUTER_NAME") or config["name"],
             listen=address(environment.get("ROUTER_LISTEN") or config["listen"]),
             discovery=address(environment.get("ROUTER_DISCOVERY") or config["discovery"]),
-            platform=address(desk["address"]) if "address" in desk else None,
+            platform=platform_of(config),
             connections=max(sockets - SPARE, 2), start=start,
             lanes={lane["Name"]: start.lanes[n] for n, lane in enumerate(told.get("Lanes", []))},
             customers=numbered(customer["Name"] for customer in told.get("Projects", [])),
@@ -71,7 +92,11 @@
             known=config.get("known") or {"version": 0, "full": True, "servers": []},
             news=platform.stage([news[name] for name in names]) if news else None,
         )
-    except KeyError as error:
-        raise Unfit(f"{error} is missing") from None
-    except (OSError, ValueError, TypeError, AttributeError) as error:
-        raise Unfit(str(error)) from None
+
+
+def read_again(environment=os.environ):
+    """Where discovery and the platform are by the configuration as it is now. The environment is that of the
+    start, so here the file wins; its list and news are no newer than what was told since, and are left."""
+    with unfit():
+        config = load(environment)
+        return address(config["discovery"]), platform_of(config)
--- a/lemonlead/gateway/releases.py
+++ b/lemonlead/gateway/releases.py
@@ -7,7 +7,7 @@
 
 from .. import interface as at
 from . import platform
-from .upkeep import CONNECTS, Pause, reason_for_end
+from .upkeep import Upkeep
 
 SILENCE = 3.5  # seconds without a sign of life after which news are cut off; one comes each second
 
@@ -17,7 +17,7 @@
         self.place, self.desk, self.log, self.counters = place, desk, log, counters
         self.answer_time = place.start.release.answer_time / 1e9
         self.votes = queue.SimpleQueue()
-        self.pause = Pause(place.start.seed, 0.1, 2.0)
+        self.upkeep = Upkeep(place.platform, place.start.seed, 0.1, 2.0)
 
     def vote(self, *vote):
         self.votes.put((time.monotonic() + self.answer_time, vote))
@@ -26,28 +26,22 @@
 
     def hear(self):
         while True:
-            reason, detail = reason_for_end(self.listen)
+            reason, detail = self.upkeep.run(self.listen)
             self.counters.add(f"news ended: {reason}")
             self.log.info("news ended", reason=reason, detail=detail)
-            self.pause.wait()
+            self.upkeep.wait()
 
     def listen(self):
-        with socket.socket() as sock:
-            sock.settimeout(CONNECTS)
-            sock.connect(self.place.platform)
-            sock.settimeout(SILENCE)
-            sock.sendall(b"NOTIFY\r\n")
-            reader = platform.Reader()
-            while True:
-                words = self.words(sock, reader)
-                if words is None:
-                    return "closed"
-                if words[:2] == ["*", "stage"]:
-                    self.counters.add("news told")
-                    self.desk.tell(self.desk.balancer.stage_told, *platform.stage(words[2:]))
-                    self.pause.worked()
-                elif words[:1] not in (["*"], ["OK"]):
-                    raise platform.Malformed("no news: " + " ".join(words)[:100])
+        sock, reader = self.upkeep.connected(SILENCE), platform.Reader()
+        sock.sendall(b"NOTIFY\r\n")
+        while (words := self.words(sock, reader)) is not None:
+            if words[:2] == ["*", "stage"]:
+                self.counters.add("news told")
+                self.desk.tell(self.desk.balancer.stage_told, *platform.stage(words[2:]))
+                self.upkeep.worked()
+            elif words not in (["*"], ["OK"]):
+                raise platform.Malformed("no news: " + " ".join(words)[:100])
+        return "closed"
 
     def words(self, sock, reader, until=None):
         while (words := reader.next()) is None:
@@ -76,7 +70,7 @@
         with socket.socket() as sock:
             try:
                 sock.settimeout(max(until - time.monotonic(), 0.001))
-                sock.connect(self.place.platform)
+                sock.connect(self.upkeep.address)
                 sock.sendall(platform.ballot(*vote))
             except OSError:
                 return at.VOTE_ERRED, None  # not carried out
--- a/lemonlead/gateway/upkeep.py
+++ b/lemonlead/gateway/upkeep.py
@@ -1,36 +1,68 @@
-"""What keeps up a connection that the gateway cannot do without: why it ended, and how long to wait."""
+"""What keeps up a connection that the gateway cannot do without: where to, why it ended, how long to wait."""
 
+import contextlib
 import random
-import time
+import socket
+import threading
 
 CONNECTS = 1.0  # seconds; what has not come up by then is tried anew, to be early once it can be reached
 REASONS = {ConnectionRefusedError: "refused", ConnectionResetError: "reset", BrokenPipeError: "reset"}
 
 
-def reason_for_end(work):
-    """Runs a connection until it ends; the reason as a code, and what else is to be said of it."""
-    try:
-        return work(), ""
-    except ValueError as error:  # the parsers' Malformed among them
-        return "malformed", str(error)
-    except TimeoutError:
-        return "silent", ""
-    except OSError as error:
-        return REASONS.get(type(error), "unreachable"), str(error)
-    except Exception as error:  # the next connection depends on the thread
-        return "fault", f"{type(error).__name__}: {error}"
+class Upkeep:
+    """One such connection at a time. The pause before the next grows with each failure and is spread by
+    chance; a new address ends both the connection and the pause."""
 
+    def __init__(self, address, seed, shortest, longest):
+        self.address, self.random = address, random.Random(seed)
+        self.shortest, self.longest, self.length = shortest, longest, shortest
+        self.room = threading.Condition()  # guards the address, the socket, and whether it is to move
+        self.sock, self.moving = None, False
 
-class Pause:
-    """Before what failed is tried again: it grows with each failure and is spread by chance."""
+    def connected(self, silence):
+        """A socket to the address as it is now, on which a silence of so many seconds is an error."""
+        with self.room:
+            self.moving, self.sock, address = False, socket.socket(), self.address
+        self.sock.settimeout(CONNECTS)
+        self.sock.connect(address)
+        self.sock.settimeout(silence)
+        return self.sock
 
-    def __init__(self, seed, shortest, longest):
-        self.random, self.shortest, self.longest = random.Random(seed), shortest, longest
-        self.length = shortest
+    def run(self, work):
+        """Has `work` make a connection and use it until it ends; the reason as a code, and what else is to be
+        said of it."""
+        try:
+            reason, detail = work(), ""
+        except ValueError as error:  # the parsers' Malformed among them
+            reason, detail = "malformed", str(error)
+        except TimeoutError:
+            reason, detail = "silent", ""
+        except OSError as error:
+            reason, detail = REASONS.get(type(error), "unreachable"), str(error)
+        except Exception as error:  # the next connection depends on the thread
+            reason, detail = "fault", f"{type(error).__name__}: {error}"
+        with self.room:
+            if self.sock is not None:
+                self.sock.close()
+            self.sock = None
+            return ("moved", "") if self.moving else (reason, detail[:200])
 
     def worked(self):
         self.length = self.shortest
 
+    def move(self, address):
+        """To a new address at once; False if it is the old one."""
+        with self.room:
+            if address == self.address:
+                return False
+            self.address, self.moving, self.length = address, True, self.shortest
+            if self.sock is not None:
+                with contextlib.suppress(OSError):  # it may not be connected yet
+                    self.sock.shutdown(socket.SHUT_RDWR)
+            self.room.notify_all()
+            return True
+
     def wait(self):
-        time.sleep(self.length * self.random.uniform(0.5, 1.0))
+        with self.room:
+            self.room.wait_for(lambda: self.moving, self.length * self.random.uniform(0.5, 1.0))
         self.length = min(2 * self.length, self.longest)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -216,7 +216,8 @@
         head = sock.recv(65536).decode()
         self.asked.append(head.split()[1])
         sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        done = int(self.asked[-1].rsplit("=", 1)[1]) - 1
+        index = int(self.asked[-1].rsplit("=", 1)[1])
+        done = index - 1 if index <= max((update["version"] for update in self.updates), default=index) else 0
         while True:
             with self.changed:
                 self.changed.wait_for(lambda done=done: len(self.updates) > done, 1.0)
@@ -318,7 +319,11 @@
         until(lambda: ran.log().count("event=counters") > before and ran.log().endswith("\n"))
         return counted(ran.log(), "counters")
 
-    ran.client, ran.counters = client, counters
+    def reload(text):
+        (tmp_path / "config.json").write_text(text)
+        process.send_signal(signal.SIGHUP)
+
+    ran.client, ran.counters, ran.reload, ran.config = client, counters, reload, config
     try:
         serving = until(lambda: [line for line in ran.log().splitlines() if "event=serving" in line])
         ran.port = int(dict(word.split("=", 1) for word in serving[0].split() if "=" in word)["port"])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import json
 import signal
 import socket
 import subprocess
@@ -12,7 +13,9 @@
 import time
 
 import pytest
-from helpers import SETTINGS, InstanceServer, counted, entry, gateway, gives, until
+from helpers import (
+    SETTINGS, DiscoveryServer, InstanceServer, PlatformServer, counted, entry, gateway, gives, until,
+)
 
 from lemonlead.gateway import resp
 
@@ -306,6 +309,32 @@
         assert ran.client().ask().read() == b"aa"
 
 
+def test_sighup_moves_to_the_addresses_that_the_file_then_names_and_nothing_else_changes(tmp_path):
+    old, new = InstanceServer().start(), InstanceServer(lambda words: gives(b"new")).start()
+    discovery, platform = DiscoveryServer().start(), PlatformServer().start()
+    discovery.tell(entry("i1", new), full=True, version=1)  # a service that counts anew
+    with gateway(tmp_path, old, new, entries=[entry("i0", old)]) as ran:
+        until(lambda: ran.platform.asked and ran.discovery.asked)
+        ran.discovery.tell(entry("i0", old), version=7)
+        until(lambda: ran.counters().get("lists_told", 0) >= 2)
+        client = ran.client()
+        for text in ("{", "{}", '{"discovery": 5}', "[" * 100000):
+            ran.reload(text)
+            until(lambda: 'event="configuration unfit"' in ran.log())
+            assert client.ask().read() == b"aa"
+        ran.reload(json.dumps({"discovery": discovery.address, "release_api": {"address": platform.address}}))
+        until(lambda: client.ask().read() == b"new" and platform.asked)
+        asked = len(ran.discovery.asked), ran.platform.asked
+        ran.discovery.close()
+        ran.platform.close()
+        assert client.ask().read() == b"new" and (len(ran.discovery.asked), ran.platform.asked) == asked
+        ran.process.send_signal(signal.SIGTERM)
+        ran.process.send_signal(signal.SIGHUP)
+        assert ran.process.wait(60) == 0
+    discovery.close()
+    platform.close()
+
+
 @pytest.mark.parametrize(
     "text", [None, "{", "[]", "{}", '{"settings": {}, "seed": "xyz"}', '{"settings": 3, "seed": "1"}']
 )
