Spoilt answers and unfit lookups speak against no machine or build; doubtful connections end

Seen, by the probe's logs: builds 92 and 93, both good, voted back 1 to 3 s after their release on errors of 14 % against none. Those were '-ERR bad request' (bad clients' own lookups, each sent up to five times) and spoilt answers (4.6 % of all, from any instance), which Instances.outcome told as ERRED, or RESET with a strike against the machine. Ruled out: a bad build (served in time 98 % before and after), CPU (0.24 of 0.85 of a core in the dearest second), lost connections (none was reset). Now only the forms of the protocol leave a connection usable; an answer that cannot be read ends as SPOILT (may have run, the lookup goes on as its lane allows), another error of RESP as UNFIT (the lookup ends, aborted). Neither counts for or against machine, build or pace. A connection is looked at last of all before its command is written, the longest unused first, and one that brought more than its answer is ended. Connections are waited on by socket limits, not by poll: four system calls a send in place of eight. What else it holds against: a proxy that garbles, clients of a newer protocol. Harm: a build that spoils answers is not voted back.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -14,7 +14,7 @@
 
 from .interface import (
     BACK, COUNTED, ERRED, HARMLESS, HOLD, NEVER_RAN, ON, ON_TRIAL, ONE_SHOT, READY, REJECTED,
-    RELEASED, RESET, STAMPED, SUCCEEDED, TIMED_OUT, UNCONNECTED, WITHDRAWN, Send,
+    RELEASED, RESET, SPOILT, STAMPED, SUCCEEDED, TIMED_OUT, UNCONNECTED, UNFIT, WITHDRAWN, Send,
 )
 from .odds import chance
 from .records import Builds, Group, Member
@@ -48,7 +48,7 @@
         self.lane_work = {lane.number: lane.goal_time / USUAL for lane in start.lanes}
         # The share of a machine's load that others send unseen, past a lookup of each in a goal time.
         self.blind = max(0.0, 1 - USUAL / balancers)
-        self.builds = Builds(release.caps[0] if release.caps else 0.0, PAIRS, SEEN)
+        self.builds = Builds(*release.caps[:1] or [0.0], PAIRS, SEEN)
         self.sent_window, self.taken_window = release.window + 2 * start.step, release.window - 2 * start.step
         self.free_sends, self.per_lane = release.free_sends, release.per_lane
         self.guarded_stages, self.forward_only = release.guarded_stages, release.forward_only
@@ -61,19 +61,17 @@
         # The build of the last news; the one on trial that has machines; the one that votes can still move.
         self.told = self.trial = self.judged = None
         self.like = set()  # kinds of machine that run it and the earlier build, where there are any
-        self.share = 0.0  # of the load that is due to the machines on trial
         self.taken, self.work_in = {}, 0  # as a build's `sent`: arrivals of lookups; the work let in
         self.mean_work = sum(self.lane_work.values()) / max(len(self.lane_work), 1)  # of a lookup taken
         self.pace, self.rescues = 0.0, 5.0  # time to answer by goal time, smoothed; what RESCUES left over
-        self.times, self.lows = {}, {}  # of each lane and customer: last times by goal time; lower quartile
-        self.tested = {}  # of those that wait at every machine: when one was last let through
-        self.due, self.notes = deque(), deque()  # lookups that want a decision, lines to log
-        self.wakes, self.wake_count = [], 0
+        # Of each lane and customer: last times by goal time; lower quartile; if it waits, its last test.
+        self.times, self.lows, self.tested = {}, {}, {}
+        self.due, self.notes, self.wakes = deque(), deque(), []  # lookups to decide on, lines to log, timers
         self.next_tick, self.ask_at = start.now, start.now if start.ask_for_list else None
         self.pair_at, self.pair = None, {}  # the pair now open: its start, its outcomes by (on trial, lane)
         self.scarce, self.idle_time = 0.0, start.idle_time - start.step  # share of sends left unconnected
         self.news = self.look = False  # an outcome came since the pair was last judged; a vote may be due
-        self.calm_time = 0.0  # the median time of the last pair with no build on trial
+        self.share = self.calm_time = 0.0  # of the load, due to the trial; last pair's median with no trial
         # The vote that stands: when it is due again; until when another waits for its answer.
         self.vote_out, self.vote_at, self.vote_busy = None, start.now, start.now
 
@@ -100,6 +98,7 @@
     def lookup_arrived(self, now, lookup):
         lookup.work = lookup.work or int(self.lane_work[lookup.lane.number])
         self.taken.setdefault(self.count_of(lookup), deque()).append(now)
+        recent(self.taken[self.count_of(lookup)], now - self.taken_window)
         self.mean_work += 0.01 * (lookup.work - self.mean_work)
         self.rescues = min(self.rescues + RESCUES, 20.0)
         if self.trial is not None:
@@ -129,7 +128,9 @@
         silent = member.heard_at <= send.at and end in (TIMED_OUT, WITHDRAWN)
         self.scarce += 0.1 * ((end == UNCONNECTED) - self.scarce)
         member.open_until = now + self.idle_time if answered else 0  # unsure where no answer came
-        if answered:
+        if answered or end in (SPOILT, UNFIT):
+            # What spoils answers on the way, or a lookup that no machine can use, tells nothing of a machine
+            # or build but that it is up. It could hide a build that spoils: lookups are sent again, no vote.
             member.heard_at, member.strikes, member.shunned_until = now, 0, 0
             member.answered, member.failed = member.answered + 1, member.failed + (end == ERRED)
         elif end in (UNCONNECTED, RESET) or (silent and end == TIMED_OUT):
@@ -213,7 +214,7 @@
         if out and now < lookup.hard_stop:
             return self.rescue(lookup, out, now, door)
         # Guards against the jam in which each lookup is turned away at many full machines.
-        spent = self.rescues < 1 and any(send.end == REJECTED for send in lookup.sends[-1:])
+        spent = any(s.end == UNFIT or s.end == REJECTED and self.rescues < 1 for s in lookup.sends[-1:])
         if spent or now == lookup.arrived and self.sheds(lookup, now) or now >= lookup.hard_stop:
             return self.give_up(lookup, door)
         self.work_in += lookup.work if now == lookup.arrived else 0
@@ -263,9 +264,9 @@
         return send.at + max(send.lookup.lane.goal_time // 2, int(3 * usual))
 
     def give_up(self, lookup, door):
-        lookup.over, lane = True, lookup.lane
-        ran = any(send.end not in NEVER_RAN for send in lookup.sends)
-        if ran and lane.effect != HARMLESS and (lane.effect == ONE_SHOT or lane.group != "all"):
+        lookup.over, lane, ends = True, lookup.lane, {send.end for send in lookup.sends}
+        alone = lane.effect == ONE_SHOT or lane.effect == STAMPED and lane.group != "all"
+        if UNFIT in ends or alone and not ends.issubset(NEVER_RAN):
             door.abort(lookup)
         else:
             door.push_back(lookup, min(self.hold_off_cap, lane.goal_time // 16))
@@ -346,22 +347,17 @@
     def may_begin(self, now, send):
         """Asked before the first byte of a send, by a host whose sends may wait for a connection."""
         lookup, member = send.lookup, send.instance
-        if lookup.over or now >= lookup.hard_stop or self.members.get(member.id) is not member:
-            return False
-        return not self.on_trial(member.build) or self.exposure_left(member.build, lookup, now, 0)
+        fit = not lookup.over and now < lookup.hard_stop and self.members.get(member.id) is member
+        return fit and (not self.on_trial(member.build) or self.exposure_left(member.build, lookup, now, 0))
 
     def exposure_left(self, build, lookup, now, more=1):
         """The window is a little wider for sends than for lookups. A lower cap binds at once."""
         stage = build.stage if build is self.told else 0
         if build.cap <= 0 or (stage < self.guarded_stages and lookup.lane.effect != HARMLESS):
             return False
-        sent = build.sent.get(self.count_of(lookup), ())
-        taken = self.taken.get(self.count_of(lookup), ())
-        while sent and sent[0] < now - self.sent_window:
-            sent.popleft()
-        while taken and taken[0] <= now - self.taken_window:
-            taken.popleft()
-        return len(sent) + more <= self.free_sends + build.cap * len(taken)
+        sent = recent(build.sent.get(self.count_of(lookup), ()), now - self.sent_window - 1)
+        taken = recent(self.taken.get(self.count_of(lookup), ()), now - self.taken_window)
+        return sent + more <= self.free_sends + build.cap * taken
 
     def warmth(self, member, now):  # the share of its capacity that it is sure to have; 1 when it is warm
         age = now - member.started if member.started else self.cold_time
@@ -380,8 +376,7 @@
         return lookup.lane.number if self.per_lane else 0
 
     def wake(self, at, lookup):
-        self.wake_count += 1
-        heapq.heappush(self.wakes, (at, self.wake_count, lookup))
+        heapq.heappush(self.wakes, (at, self.rng.random(), lookup))
 
     # ---- the gate: the build on trial against the earlier one, in pairs of short windows
 
@@ -394,7 +389,9 @@
             if trial is not None and trial is not self.trial:
                 trial.credit = self.rng.random()  # small shares of little traffic add up over balancers
             self.trial, self.judged, self.pair_at, self.pair = trial, judged, None, {}
-        self.look = True
+        self.look, number = True, min([self.told.number if self.told else 0, *numbers])
+        for old in [old for old in self.builds if old < number]:
+            del self.builds[old]  # no machine runs it and no news is of it
         kinds = {(member.kind, member.build is judged) for member in self.members.values()}
         self.like = {kind for kind, on in kinds if (kind, not on) in kinds}
 
@@ -500,14 +497,19 @@
         movable = build is not None and now >= self.vote_busy and build.phase in (ON_TRIAL, RELEASED)
         if not movable or (verdict := self.verdict(build, now)) is None:
             return False
-        vote = (build.number, build.stage, verdict)
-        if vote == self.vote_out and now < self.vote_at:
+        if (vote := (build.number, build.stage, verdict)) == self.vote_out and now < self.vote_at:
             return False
         self.vote_out, self.vote_at, self.vote_busy = vote, now + self.vote_wait, now + self.vote_wait
         door.vote(*vote)
         return True
 
 
+def recent(times, since):  # how many came after that moment; the others are dropped
+    while times and times[0] <= since:
+        times.popleft()
+    return len(times)
+
+
 def kinds_of(lookup):
     return (("lane", lookup.lane.number), ("customer", lookup.customer))
 
--- a/lemonlead/gateway/instances.py
+++ b/lemonlead/gateway/instances.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 import traceback
 from collections import deque
@@ -20,41 +21,54 @@
         self.reader = resp.Reader()
         self.used = 0  # when its last answer came
 
-    def wait(self, until):
-        """Has what follows on the socket wait until then at most."""
-        if (left := until - now()) <= 0:
-            raise TimeoutError
-        self.sock.settimeout(left / 1e9)
-
     def connect(self, until):
-        self.wait(until)
+        self.sock.settimeout(left(until) / 1e9)
         self.sock.connect(self.pool.address)
+        self.sock.settimeout(None)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def quiet(self):
         """Whether nothing has come while it was unused: neither its end nor an answer that nobody awaits."""
-        self.sock.settimeout(0)
         try:
             self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return not len(self.reader.buffer)
+            return self.reader.empty()
         except OSError:
             pass
         return False
 
     def write(self, data, until):
-        self.wait(until)
-        self.sock.sendall(data)
+        """At once where the socket has room, as it has for most commands."""
+        with contextlib.suppress(BlockingIOError):
+            data = data[self.sock.send(data, socket.MSG_DONTWAIT) :]
+        while data:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit(until))
+            data = data[self.sock.send(data) :]
 
     def read(self, until):
         """The next whole value; raises TimeoutError, OSError or Malformed."""
         while (value := self.reader.next()) is resp.MORE:
-            self.wait(until)
-            if not self.reader.buffer.fill(self.sock.recv_into):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, limit(until))
+            try:
+                count = self.reader.buffer.fill(self.sock.recv_into)
+            except BlockingIOError:
+                raise TimeoutError from None
+            if not count:
                 raise ConnectionResetError
         return value
 
 
+def left(until):
+    if (wait := until - now()) <= 0:
+        raise TimeoutError
+    return wait
+
+
+def limit(until):
+    """The time left, as the socket takes it: nothing at all would be no limit."""
+    return struct.pack("ll", *divmod(max(left(until) // 1000, 1), 1_000_000))
+
+
 class Pool:
     """One instance since its last start: its address and unused connections, the longest unused first."""
 
@@ -138,11 +152,13 @@
         with self.lock:
             del self.trips[trip.send]
             keep = end in (at.SUCCEEDED, at.ERRED, at.REJECTED, at.NOT_SENT) and not trip.withdrawn
-            if connection is not None and keep and not pool.closed:
+            more = keep and connection is not None and not connection.reader.empty()
+            if connection is not None and keep and not more and not pool.closed:
                 connection.used = now()
                 pool.unused.append(connection)
             elif connection is not None:
-                ended.append((connection, "instance gone" if keep else end))
+                # More than an answer, or half of one, would be taken for the next lookup's.
+                ended.append((connection, "more came" if more else "instance gone" if keep else end))
             if connection is not None and end in (at.TIMED_OUT, at.RESET, at.UNCONNECTED):
                 # Guards against a machine that vanished: its open connections stay silent also once it is
                 # back. It could close good ones of a machine that is slow; those cost a new one each.
@@ -155,8 +171,16 @@
     def outcome(self, trip):
         """How the send ended, and the value if it succeeded."""
         try:
-            if not self.reach(trip) or trip.withdrawn or not self.desk.may_begin(trip.send):
-                return at.NOT_SENT, None
+            while True:
+                made = self.reach(trip)
+                if made is None or trip.withdrawn or not self.desk.may_begin(trip.send):
+                    return at.NOT_SENT, None
+                # Looked at last of all: what comes unasked would be taken for this lookup's answer, and on a
+                # connection that has ended nothing of this send has been written.
+                if made or trip.connection.quiet():
+                    break
+                self.end(trip.connection, "instance closed")
+                trip.connection = None
             wait = max((trip.until - now()) // NS, 1)
             trip.connection.write(resp.command(passed_on(trip.words, wait)), trip.until)
         except OSError:
@@ -169,46 +193,35 @@
             value = trip.connection.read(trip.until)
         except TimeoutError:
             return at.TIMED_OUT, None
-        except resp.Malformed as error:
-            self.log.warning("instance unreadable", reason=str(error))
-            return at.RESET, None
+        except resp.Malformed:
+            return at.SPOILT, None
         except OSError:
             return at.WITHDRAWN if trip.withdrawn else at.RESET, None
-        if isinstance(value, list) and value and type(value[0]) is bytes:
-            return at.SUCCEEDED, value[0]
-        if isinstance(value, resp.Fault) and value.split(b" ")[0] == b"BUSY":
-            return at.REJECTED, None
-        if value != b"ERR failed":
-            self.log.warning("instance answered oddly", reason=repr(value)[:200])
-        return at.ERRED, None
+        return ending(value)
 
     def reach(self, trip):
-        """Finds an unused connection that still stands, or makes one; False where there is no room for one.
-        One that came to its end while unused is replaced: nothing of this send has been written to it."""
+        """Has the connection longest unused, or makes one, and says whether it did; None where there is no
+        room for one. The longest unused is the least likely to bring more than it should."""
         pool, ended = trip.pool, []
         if pool is None:
-            return False
+            return None
         with self.lock:
             while pool.unused and pool.unused[0].used + self.idle_time < now():
-                ended.append((pool.unused.popleft(), "unused"))
-            while pool.unused and trip.connection is None:
-                connection = pool.unused.pop()
-                if connection.quiet():
-                    trip.connection = connection
-                else:
-                    ended.append((connection, "instance closed"))
-        for connection, reason in ended:
-            self.end(connection, reason)
+                ended.append(pool.unused.popleft())
+            if pool.unused:
+                trip.connection = pool.unused.popleft()
+        for connection in ended:
+            self.end(connection, "unused")
         if trip.connection is not None:
-            return True
-        if not self.make_room():
             return False
+        if not self.make_room():
+            return None
         try:
             trip.connection = Connection(pool)
         except OSError:  # no descriptor to be had
             with self.lock:
                 self.open -= 1
-            return False
+            return None
         self.counters.add("connections made")
         trip.connection.connect(min(trip.until, now() + self.connect_time))
         return True
@@ -235,6 +248,21 @@
         self.log.info("connection ended", instance=connection.pool.address[0], reason=reason)
 
 
+def ending(value):
+    """How a send ended by the whole value that came back, and the lookup's answer if it succeeded. What the
+    protocol does not list is spoilt, but for a load report, which may be anything that can be read."""
+    if type(value) is list and len(value) == 3 and type(value[0]) is bytes and value[1] is None:
+        return at.SUCCEEDED, value[0]
+    if isinstance(value, resp.Fault):
+        if value == b"ERR failed":
+            return at.ERRED, None
+        if value.split(b" ")[0] == b"BUSY":
+            return at.REJECTED, None
+        if value.startswith(b"ERR ") or value == b"SYNTAX":
+            return at.UNFIT, None  # another error that can be read speaks of the command
+    return at.SPOILT, None
+
+
 def passed_on(words, wait):
     """The client's command as an instance gets it: as it came, but for the wait in `d`."""
     extras = [b"d=%d" % wait if pair.startswith(b"d=") else pair for pair in words[3].split(b",")]
--- a/lemonlead/gateway/resp.py
+++ b/lemonlead/gateway/resp.py
@@ -34,6 +34,10 @@
             if value is not None:
                 return None if value is NULL else value
 
+    def empty(self):
+        """Whether it stands between values, with nothing of the next."""
+        return not len(self.buffer) and not self.open and self.bulk is None
+
     def string(self):
         data = self.buffer.take(self.bulk + 2)
         if data is None:
--- a/lemonlead/interface.py
+++ b/lemonlead/interface.py
@@ -13,6 +13,7 @@
 # How a send ended.
 SUCCEEDED, ERRED, REJECTED, TIMED_OUT = "succeeded", "erred", "rejected", "timed out"
 UNCONNECTED, RESET, WITHDRAWN, NOT_SENT = "unconnected", "reset", "withdrawn", "not sent"
+SPOILT, UNFIT = "spoilt", "unfit"  # an answer that cannot be read; the instance cannot use this lookup
 NEVER_RAN = (REJECTED, UNCONNECTED, NOT_SENT)  # the endings that prove that a send did not run
 # An instance's state as listed.
 GONE, DRAINING, READY = 0, 1, 2
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -296,6 +296,26 @@
     assert (member.limit > 1.5) is grows
 
 
+@pytest.mark.parametrize("end, again", [(at.SPOILT, True), (at.UNFIT, False)])
+def test_answers_that_are_none_speak_against_no_machine_and_no_build(end, again):
+    made = balancer([line(1), line(2, build=2)], told=(2, 0, at.ON_TRIAL, 0.5))
+    made.pair_at, member = NOW, made.members[2]
+    member.slowness, asked = 1.0, lookup()
+    made.send_ended(NOW, sent(asked, member), end, MS, False, {})
+    assert (member.strikes, member.failed, member.slowness, member.limit, made.pair) == (0, 0, 1.0, 3.0, {})
+    assert [call[0] for call in Desk().pull(made, NOW + 1)] == ["send" if again else "abort"]
+
+
+def test_what_was_kept_of_older_builds_and_lookups_is_dropped():
+    made = balancer([line(1)])
+    for number in range(2, 9):
+        made.listed(NOW, [line(number, build=number)], True, True)
+        made.stage_told(NOW, number, 0, at.RELEASED, 1.0, 0)
+    for second in range(20):
+        made.lookup_arrived(NOW + second * SECOND, lookup(second))
+    assert set(made.builds) == {8} and len(made.taken[0]) <= 2
+
+
 def test_a_machine_that_fails_at_once_does_not_draw_lookups():
     """Guards against the machine that errs or rejects in a millisecond and so never looks busy."""
     made = balancer([line(1), line(2)])
