Bad clients: lookups checked as a whole, silence and halves bounded, nonsense read ever slower

Seen by the probe: silent connections stood for 5.8 s (3 s are allowed), half a command for as long as its client liked; one client sent a lookup of no lane 600 times, 1 ms apart; anything past a bad byte waited for lookups before it. Now Gate.lookup checks a command as a whole; an id of an open lookup gets an error; a command has 68 KiB, large ones share an eighth of the memory told; no command in 0.9 s, half of one for 0.9 s, or 4 s between lookups end a connection. A client's own thread alone reads and closes (SHUT_RD asks it to), so one receive a read is enough.

--- a/lemonlead/gateway/__main__.py
+++ b/lemonlead/gateway/__main__.py
@@ -10,6 +10,7 @@
 from . import place as places
 from .clients import Gate
 from .counters import Counters
+from .crew import Crew
 from .desk import Desk
 from .discovery import Discovery
 from .instances import Instances
@@ -35,13 +36,13 @@
     except places.Unfit as error:
         print(f"lemonlead.gateway: the configuration cannot be used: {error}", file=sys.stderr)
         return 2
-    log, counters = structlog.get_logger(gateway=place.name), Counters()
+    log, counters, crew = structlog.get_logger(gateway=place.name), Counters(), Crew()
     desk = Desk(place.start, log, counters)
-    desk.instances = Instances(place, desk, log, counters)
+    desk.instances = Instances(place, desk, crew, log, counters)
     desk.discovery = discovery = Discovery(place, desk, log, counters)
     desk.releases = releases = Releases(place, desk, log, counters)
     try:
-        gate = Gate(place, desk, log, counters)
+        gate = Gate(place, desk, crew, log, counters)
         known = discovery.read(place.known)
     except (OSError, ValueError, TypeError, KeyError, AttributeError) as error:
         print(f"lemonlead.gateway: cannot start: {type(error).__name__}: {error}", file=sys.stderr)
--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import re
 import socket
 import struct
 import threading
@@ -14,25 +15,39 @@
 from . import resp
 from .place import now
 
-MOST_ASKS, MOST_UNSENT = 256, 1 << 20  # unanswered commands, unsent bytes; past them no more is read
+MOST_ASKS, MOST_UNSENT = 64, 1 << 18  # unanswered commands, unsent bytes; past them no more is read
 SLOWEST = 5  # seconds for which a client may take none of its answers
 EXTRA = 8  # connections past the bound, whose lookups are pushed back
-# Seconds without a lookup after which a connection may make room: at the bound, and past the extra ones. Its
-# next lookup may be on its way, the more likely the sooner after the last answer.
-UNUSED, HARDLY_USED = 0.5, 0.05
+LOOK = 1.0  # seconds without a byte after which a connection is looked at
+PART = 0.9  # seconds from a connection's start to its first command; from a command's first byte to its last
+REST = 4.0  # seconds between lookups after which a connection ends: some clients ask once and hold it
+# Seconds without a lookup after which a connection may make room: where none ever came, at the bound, past
+# the extra ones. Its next lookup may be on its way, the more likely the sooner after the last answer.
+MUTE, UNUSED, HARDLY_USED = 0.1, 0.5, 0.05
+# Of a client that sent what cannot be read: for so long lookups from before it are waited for; so many bytes
+# are still taken, for so long, that the error reaches it.
+PATIENCE, DREGS, DREGS_TIME = 0.5, 1 << 18, 0.2
+PENALTY, MOST_PENALTY = 0.1, 1.0  # seconds before more is read after a command that makes no sense; they grow
+LARGE = 8192  # bytes past which a command counts against the room for all
+WORDS = {b"Q.ASK": (4,), b"Q.DO": (4, 5)}  # how many words a lookup has
+LONGEST_ID, LONGEST_KEY = 128, 1024
+NUMBER = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 
 
 class Ask:
     """One command of a client's, and its answer once there is one."""
 
-    __slots__ = ("client", "words", "answer", "lookup")
+    __slots__ = ("client", "words", "answer", "lookup", "weight")
 
     def __init__(self, client, words, answer=None, lookup=None):
         self.client, self.words, self.answer, self.lookup = client, words, answer, lookup
+        size = sum(map(len, words))
+        self.weight = size if size > LARGE else 0
 
 
 class Client:
-    """One client's connection. `room` guards its asks, what is unsent, and the end of its socket."""
+    """One client's connection. `room` guards its asks, what is unsent, and why it ends. Its own thread alone
+    reads and closes it: others ask that thread to, so that what has come by then is answered first."""
 
     def __init__(self, sock, gate, extra):
         self.sock, self.gate, self.extra = sock, gate, extra
@@ -40,10 +55,12 @@
         self.room = threading.Condition()
         self.asks = deque()  # not yet answered in full, in their order
         self.unsent = bytearray()
-        self.busy = False  # what has come is being read and told
         self.writing = False  # a thread writes out what the client did not take at once
-        self.reason = None  # why we ended it
+        self.reason = None  # why we end it
+        self.broken = False  # nothing more can be written
         self.since = time.monotonic()  # when it last got an answer
+        self.part_since = None  # when what there is of a command was first seen
+        self.asked, self.faults, self.weight = False, 0, 0  # a whole command came; senseless ones; its buffer
 
     def run(self):
         reason = "fault"
@@ -51,10 +68,7 @@
             reason = self.read()
         except resp.Malformed as error:
             reason = "malformed"
-            self.put(Ask(self, (), resp.error(f"ERR {error}")))
-            with self.room:  # what was taken before it is still answered
-                while (self.asks or self.writing) and self.reason is None:
-                    self.room.wait()
+            self.turn_away(error)
         except OSError:
             reason = "reset"
         except Exception:
@@ -63,81 +77,139 @@
             self.close(reason)
 
     def read(self):
-        """What has come is taken from the socket under `room` only, so that a connection that is found idle
-        there has brought nothing that would be lost by ending it."""
         while True:
-            self.sock.recv(1, socket.MSG_PEEK)
-            with self.room:
-                # What came after we ended it is sent again by its client: taken here it might run twice.
-                if self.reason is not None or not self.reader.buffer.fill(self.sock.recv_into):
-                    return "client closed"
-                self.busy = True
+            try:
+                count = self.reader.buffer.fill(self.sock.recv_into)
+            except BlockingIOError:  # none for as long as LOOK
+                if (reason := self.rests()) is not None:
+                    return reason
+            else:
+                if not count and (self.reason is None or self.broken or not self.asks):
+                    return self.reason or "client closed"
+                if not count:  # we end it, and it had asked before it could know
+                    with self.room:
+                        self.room.wait_for(lambda: not self.asks or self.broken)
             while (words := self.reader.next()) is not resp.MORE:
+                self.part_since = None
                 self.take(words)
-            self.busy = False
+            self.weigh()
+
+    def rests(self):
+        """Why it is ended, if it has stood between lookups, or without the first, for too long."""
+        with self.room:
+            if self.asks or self.unsent or not self.reader.empty():
+                return None
+            if time.monotonic() - self.since < (REST if self.asked else PART):
+                return None
+            self.reason = self.reason or ("rest" if self.asked else "silent")
+            return self.reason
+
+    def weigh(self):
+        """Guards against halves of commands that never end, and against many large ones at once."""
+        if self.reader.empty():
+            self.part_since = None
+        elif self.part_since is None:
+            self.part_since = time.monotonic()
+        elif time.monotonic() - self.part_since > PART:
+            raise resp.Malformed("half a command")
+        size = len(self.reader.buffer.data)
+        size = size if size > LARGE else 0
+        if size != self.weight:
+            if not self.gate.weigh(size - self.weight):
+                raise resp.Malformed("no room for so large a command")
+            self.weight = size
 
     def take(self, words):
         arrived, name = now(), words[0].upper()
+        self.asked = True
         if name == b"PING":
             return self.put(Ask(self, words, b"+PONG\r\n"))
-        if name not in (b"Q.ASK", b"Q.DO"):
-            return self.put(Ask(self, words, resp.error("ERR unknown command")))
         try:
             lookup = self.gate.lookup(arrived, name, words)
-        except (ValueError, KeyError, IndexError) as error:
-            self.gate.counters.add("bad lookups")
-            return self.put(Ask(self, words, resp.error(f"ERR no lookup: {type(error).__name__}")))
+        except (ValueError, KeyError) as error:
+            return self.refuse(words, f"{type(error).__name__}: {error}"[:100])
         ask = Ask(self, words, None, lookup)
         self.put(ask)
         desk, turned_away = self.gate.desk, self.extra and len(self.gate.clients) > self.gate.most
+        if ask.weight and not self.gate.weigh(ask.weight):
+            ask.weight, turned_away = 0, True
         desk.tell(desk.lookup_turned_away if turned_away else desk.lookup_arrived, ask, lookup)
+        if ask.answer is desk.TWICE:
+            self.fault()
+
+    def refuse(self, words, text):
+        self.put(Ask(self, words[:0], resp.error(f"ERR no lookup: {text}")))
+        self.fault()
+
+    def fault(self):
+        """The error is on its way; what such a client sends next, maybe at full speed, can wait."""
+        self.gate.counters.add("bad lookups")
+        self.faults += 1
+        time.sleep(min(self.faults * PENALTY, MOST_PENALTY))
 
     def put(self, ask):
         with self.room:
-            while (len(self.asks) >= MOST_ASKS or len(self.unsent) > MOST_UNSENT) and self.reason is None:
+            while (len(self.asks) >= MOST_ASKS or len(self.unsent) > MOST_UNSENT) and not self.broken:
                 self.room.wait()
             self.asks.append(ask)
         if ask.answer is not None:
             self.flush()
 
-    def idle(self, since=None):
-        """Whether it stands between lookups, also since then, and nothing has come that is not read. A part
-        of a command does not keep it for longer than SLOWEST."""
+    def turn_away(self, error):
+        """What cannot be read gets an error, soon though earlier lookups wait; then the connection ends."""
         with self.room:
-            part = len(self.reader.buffer) and time.monotonic() - self.since < SLOWEST
-            if self.asks or self.unsent or self.busy or part or self.reason is not None:
-                return False
-            if since is not None and self.since >= since:
-                return False
-            try:
-                return not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-            except OSError:
-                return True
+            self.room.wait_for(lambda: not self.asks or self.broken, PATIENCE)
+            lookups = [ask.lookup for ask in self.asks if ask.lookup and ask.answer is None]
+        if lookups:
+            self.gate.desk.tell(self.gate.desk.cut_short, lookups)
+        self.put(Ask(self, (), resp.error(f"ERR {error}")))
+        with self.room, contextlib.suppress(OSError):
+            self.room.wait_for(lambda: not (self.asks or self.writing) or self.broken, SLOWEST)
+            self.sock.shutdown(socket.SHUT_WR)
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, seconds(DREGS_TIME / 2))
+        # Closed with bytes unread, the connection would be reset, and the error might not be read.
+        left, until = DREGS, time.monotonic() + DREGS_TIME
+        with contextlib.suppress(OSError):
+            while left > 0 and time.monotonic() < until and (data := self.sock.recv(65536)):
+                left -= len(data)
 
-    def end_if_idle(self, reason):
-        with self.room:
+    def doubtful(self):
+        return not self.asked or self.faults > 0
+
+    def idle(self):
+        """Whether it stands between lookups, as far as can be seen from outside."""
+        part = self.part_since is not None and time.monotonic() - self.part_since < PART
+        return not (self.asks or self.unsent or part or self.reason)
+
+    def leave(self, reason):
+        """Has its thread close it if it stands between lookups; what has come by now is read first."""
+        with self.room, contextlib.suppress(OSError):
             if self.idle():
-                self.end(reason)
+                self.reason = reason
+                self.sock.shutdown(socket.SHUT_RD)
 
     def flush(self):
         """Writes what is next to be answered; what the client does not take at once goes by a thread."""
         with self.room:
             while self.asks and self.asks[0].answer is not None:
-                self.unsent += self.asks.popleft().answer
+                ask = self.asks.popleft()
+                self.unsent += ask.answer
+                if ask.weight:
+                    self.gate.weigh(-ask.weight)
             self.since = time.monotonic()
             if self.unsent and not self.writing:
                 with contextlib.suppress(OSError):
                     del self.unsent[: self.sock.send(self.unsent, socket.MSG_DONTWAIT)]
-                if self.unsent and self.reason is None:
+                if self.unsent and not self.broken:
                     self.write_later()
             self.room.notify_all()
         if self.gate.stopping:
-            self.end_if_idle("stopping")
+            self.leave("stopping")
 
     def write_later(self):
         try:
             self.writing = True
-            threading.Thread(target=self.drain, daemon=True).start()
+            self.gate.crew.do(self.drain)
         except RuntimeError:
             self.writing = False
             self.end("no thread")
@@ -147,7 +219,7 @@
         while True:
             with self.room:
                 data = bytes(self.unsent[:65536])
-                if not data or self.reason is not None:
+                if not data or self.broken:
                     self.writing = False
                     return self.room.notify_all()
             try:
@@ -162,9 +234,9 @@
                     self.room.notify_all()
 
     def end(self, reason):
-        """Ends the connection from our side; its own thread then notices, and closes it."""
+        """Ends the connection from our side at once; its own thread then notices, and closes it."""
         with self.room, contextlib.suppress(OSError):
-            self.reason = self.reason or reason
+            self.reason, self.broken = self.reason or reason, True
             self.room.notify_all()
             self.sock.shutdown(socket.SHUT_RDWR)
 
@@ -174,19 +246,28 @@
             while self.writing:
                 self.room.wait()
             lookups = [ask.lookup for ask in self.asks if ask.lookup and ask.answer is None]
+            self.weight += sum(ask.weight for ask in self.asks)
+            self.asks.clear()
             self.sock.close()
+        self.gate.weigh(-self.weight)
         if lookups:
             self.gate.desk.tell(self.gate.desk.client_left, lookups)
         self.gate.gone(self)
 
 
+def seconds(length):
+    """A time limit as a socket takes it."""
+    return struct.pack("ll", int(length), int(length % 1 * 1e6))
+
+
 class Gate:
     """Listens, and keeps the clients' connections within their bound."""
 
-    def __init__(self, place, desk, log, counters):
-        self.place, self.desk, self.log, self.counters = place, desk, log, counters
+    def __init__(self, place, desk, crew, log, counters):
+        self.place, self.desk, self.crew, self.log, self.counters = place, desk, crew, log, counters
         self.most, self.stopping = place.connections // 2, False
         self.clients, self.room = set(), threading.Condition()
+        self.held, self.most_held = 0, place.memory // 8  # bytes of large commands, of all clients
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(place.listen)
@@ -214,32 +295,43 @@
         waited to be accepted would be late, and was begun nowhere. It could push back what would have found
         room a moment later."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", SLOWEST, 0))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, seconds(SLOWEST))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, seconds(LOOK))
         client = Client(sock, self, extra=not self.made_room())
         with self.room:
             self.clients.add(client)
         self.counters.add("clients accepted")
         try:
-            threading.Thread(target=client.run, daemon=True).start()
+            self.crew.do(client.run)
         except RuntimeError:
             client.close("no thread")
 
     def made_room(self):
-        """Whether there is room within the bound; past the extra clients it waits until one is gone."""
-        while True:
+        """Whether there is room within the bound; past the extra clients it waits until one is gone. Those
+        that never asked, or ask what makes no sense, make room before the usual ones."""
+        while len(self.clients) >= self.most:
             with self.room:
                 clients = list(self.clients)
-            if len(clients) < self.most:
-                return True
-            full = len(clients) >= self.most + EXTRA
-            before = time.monotonic() - (HARDLY_USED if full else UNUSED)
-            idle = [client for client in clients if client.idle(before)]
+            full, moment = len(clients) >= self.most + EXTRA, time.monotonic()
+            rest = HARDLY_USED if full else UNUSED
+            idle = [client for client in clients if client.doubtful() and client.since < moment - MUTE]
+            idle = [client for client in idle if client.idle()] or [
+                client for client in clients if client.since < moment - rest and client.idle()]
             if idle:
-                min(idle, key=lambda client: client.since).end_if_idle("made room")
+                min(idle, key=lambda client: client.since).leave("made room")
             if not full:
                 return bool(idle)
             with self.room:
                 self.room.wait(HARDLY_USED)
+        return True
+
+    def weigh(self, size):
+        """Counts so many bytes more; False, and not counted, if that would be too many."""
+        with self.room:
+            if size > 0 and self.held + size > self.most_held:
+                return False
+            self.held += size
+            return True
 
     def gone(self, client):
         with self.room:
@@ -259,19 +351,24 @@
         with self.room:
             clients = list(self.clients)
         for client in clients:
-            client.end_if_idle("stopping")
+            client.leave("stopping")
         return bool(clients)
 
     def lookup(self, arrived, name, words):
-        """A lookup from `Q.ASK key id extras [body]`; raises where it makes no sense."""
+        """A lookup from `Q.ASK key id extras` or `Q.DO key id extras [body]`; raises where it is no sense."""
+        if len(words) not in WORDS.get(name, ()):
+            raise ValueError("no such command")
         key, id, extras = words[1], words[2], words[3].decode("ascii")
-        said = dict(pair.split("=", 1) for pair in extras.split(","))
-        wait, work = float(said["d"]), float(said.get("h", 0))
-        lane = self.place.lanes[said["c"]]
-        if not 0 < wait < 1e9 or not 0 <= work < 1e12 or (lane.effect == at.STAMPED and not said["k"]):
-            raise ValueError("a wait, a hint or a stamp out of bounds")
+        said = dict(pairs := [pair.split("=", 1) for pair in extras.split(",")])
+        if len(said) < len(pairs) or not 0 < len(id) <= LONGEST_ID or len(key) > LONGEST_KEY:
+            raise ValueError("a name twice, or an id or key out of bounds")
+        lane, hint = self.place.lanes[said["c"]], said.get("h", "0")
+        if not NUMBER.fullmatch(said["d"]) or not NUMBER.fullmatch(hint) or not (wait := float(said["d"])):
+            raise ValueError("a wait or a hint that is no number")
+        if lane.effect == at.STAMPED and not 0 < len(said["k"]) <= LONGEST_ID:
+            raise ValueError("a stamp out of bounds")
         if (lane.effect == at.HARMLESS) != (name == b"Q.ASK"):
             raise ValueError("this lane goes by the other command")
         customer = self.place.customers.get(said.get("t"), -1)
         stop = arrived + in_ns(wait)
-        return at.Lookup(id, lane, customer, key, arrived, stop, int(work * 1e3), said.get("r") == "1")
+        return at.Lookup(id, lane, customer, key, arrived, stop, int(float(hint) * 1e3), said.get("r") == "1")
--- a/lemonlead/gateway/desk.py
+++ b/lemonlead/gateway/desk.py
@@ -15,10 +15,13 @@
     the lock does once it is free. What is told and what is decided on it share one moment, as the interface
     asks: a balancer knows by it that a lookup has just come."""
 
+    TWICE = resp.error("ERR no lookup: its id is that of an open one")
+
     def __init__(self, start, log, counters):
         self.lock = threading.Condition()
         self.log_line, self.counters = log, counters
         self.balancer = Balancer(start)
+        self.ids = set()  # those of the lookups below
         self.asks = {}  # the lookups that want an answer: by lookup, the client's command
         self.chores = []
         self.instances = self.discovery = self.releases = None  # the drivers, set before the first call
@@ -65,20 +68,37 @@
         self.log_line.error("fault", reason=text)
 
     def lookup_arrived(self, moment, ask, lookup):
-        self.asks[lookup] = ask
-        self.count("taken", lookup)
+        if not self.taken(ask, lookup):
+            return
         lookup.arrived = moment
         self.balancer.lookup_arrived(moment, lookup)
 
     def lookup_turned_away(self, moment, ask, lookup):
         """It came past the bound on clients: it is given up as the balancer gives up any."""
+        if self.taken(ask, lookup):
+            self.balancer.give_up(lookup, self)
+
+    def cut_short(self, moment, lookups):
+        """Their connection is to end: those that still want an answer get their last one."""
+        for lookup in lookups:
+            if lookup in self.asks:
+                self.balancer.give_up(lookup, self)
+
+    def taken(self, ask, lookup):
+        """Whether it is: an id that another open lookup has would make two answers of one."""
+        if lookup.id in self.ids:
+            ask.answer = self.TWICE
+            self.chores.append((ask.client.flush,))
+            return False
         self.asks[lookup] = ask
+        self.ids.add(lookup.id)
         self.count("taken", lookup)
-        self.balancer.give_up(lookup, self)
+        return True
 
     def client_left(self, moment, lookups):
         for lookup in lookups:
             if self.asks.pop(lookup, None) is not None:
+                self.ids.discard(lookup.id)
                 self.count("left", lookup)
                 self.balancer.lookup_left(moment, lookup)
 
@@ -100,6 +120,7 @@
 
     def answer(self, lookup, ending, data):
         ask = self.asks.pop(lookup)
+        self.ids.discard(lookup.id)
         self.count(ending, lookup)
         ask.answer = data
         self.chores.append((ask.client.flush,))
--- a/lemonlead/gateway/place.py
+++ b/lemonlead/gateway/place.py
@@ -31,6 +31,7 @@
     discovery: tuple
     platform: tuple | None
     connections: int  # descriptors for clients and instances, half for each
+    memory: int  # bytes that it may take
     start: at.Start
     lanes: dict  # by the name that clients give
     customers: dict
@@ -78,14 +79,15 @@
         told, desk = config["settings"], config.get("release_api") or {}
         start = started(told, int(config["seed"], 16), now())
         start.ask_for_list = True  # on sockets the list comes to those alone that ask for it
-        news, sockets = desk.get("news"), int(config.get("limits", {}).get("sockets", 1024))
+        limits, news = config.get("limits") or {}, desk.get("news")
         names = ("release", "tranche", "mode", "exposure", "old_ms")
         return Place(
             name=environment.get("ROUTER_NAME") or config["name"],
             listen=address(environment.get("ROUTER_LISTEN") or config["listen"]),
             discovery=address(environment.get("ROUTER_DISCOVERY") or config["discovery"]),
             platform=platform_of(config),
-            connections=max(sockets - SPARE, 2), start=start,
+            connections=max(int(limits.get("sockets", 1024)) - SPARE, 2),
+            memory=int(float(limits.get("memory_mb", 192)) * 2**20), start=start,
             lanes={lane["Name"]: start.lanes[n] for n, lane in enumerate(told.get("Lanes", []))},
             customers=numbered(customer["Name"] for customer in told.get("Projects", [])),
             zones=numbered(told.get("Areas", [])), kinds=numbered(told.get("Skus", [])),
--- a/lemonlead/gateway/resp.py
+++ b/lemonlead/gateway/resp.py
@@ -3,6 +3,7 @@
 from .buffer import Buffer, Malformed
 
 LONGEST_LINE, LONGEST_BULK, MOST_ITEMS, DEEPEST = 1024, 64 * 1024, 64, 4
+LONGEST_COMMAND = LONGEST_BULK + 4096  # bytes of all its strings
 MORE = object()  # no whole value yet
 
 
@@ -23,6 +24,7 @@
         self.commands = commands
         self.open = []  # arrays begun: what they hold so far, and how many items they want
         self.bulk = None  # the length of the bulk string that is awaited
+        self.size = 0  # of the strings of the array that is open
 
     def next(self):
         while True:
@@ -64,12 +66,14 @@
         if number == -1 and not self.commands:
             return NULL
         if kind == b"$":
-            if not 0 <= number <= LONGEST_BULK:
+            self.size += number
+            if not 0 <= number <= LONGEST_BULK or self.commands and self.size > LONGEST_COMMAND:
                 raise Malformed(f"a bulk string of {number} bytes")
             self.bulk = number
             return None
         if not self.commands <= number <= MOST_ITEMS or len(self.open) >= DEEPEST:
             raise Malformed(f"an array of {number} items at depth {len(self.open)}")
+        self.size = 0
         if number == 0:
             return []
         self.open.append(([], number))
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -8,7 +8,9 @@
 from helpers import MS, SETTINGS, lookup, until
 
 from lemonlead import interface as at
+from lemonlead.gateway.clients import Client, Gate
 from lemonlead.gateway.counters import Counters
+from lemonlead.gateway.crew import Crew
 from lemonlead.gateway.desk import Desk
 from lemonlead.gateway.instances import Connection, Instances, Pool, Trip, passed_on
 from lemonlead.gateway.place import now
@@ -27,7 +29,7 @@
 def desk():
     place = SimpleNamespace(start=started(SETTINGS, 7, now()), connections=8)
     made = Desk(place.start, Quiet(), Counters())
-    made.instances = Instances(place, made, Quiet(), made.counters)
+    made.instances = Instances(place, made, Crew(), Quiet(), made.counters)
     made.discovery = SimpleNamespace(ask=lambda: None)
     made.balancer.listed(now(), [at.Instance("i0", 0, 0, 1, 0, at.READY, 1.0, 0)], True, True)
     made.balancer.stage_told(now(), 1, 0, at.RELEASED, 1.0, 0)
@@ -200,3 +202,36 @@
 
 def test_all_but_the_wait_is_passed_on_unchanged():
     assert passed_on(WORDS, 5) == [b"Q.DO", b"key", b"id", b"c=buy,d=5,t=acme", b"BODY"]
+
+
+def test_a_crew_does_all_at_once_and_keeps_its_threads_for_the_next():
+    crew, gate, done = Crew(), threading.Barrier(4), []
+    for _ in range(3):
+        crew.do(gate.wait)
+    gate.wait(60)  # none waited for another
+    until(lambda: crew.free == 3)
+    crew.do(lambda: done.append(threading.get_ident()))
+    until(lambda: done and crew.free == 3)
+
+
+@pytest.mark.parametrize("size, fits", [(1000, True), (1001, False)])
+def test_large_commands_of_all_clients_share_one_bound(size, fits):
+    place = SimpleNamespace(connections=8, memory=16000, listen=("127.0.0.1", 0))
+    gate = Gate(place, None, None, Quiet(), Counters())
+    assert gate.weigh(1000) and gate.weigh(size) is fits and gate.held == 1000 + size * fits
+    gate.listener.close()
+
+
+@pytest.mark.parametrize("asked, faults, gone", [(True, 0, 0), (False, 0, 1), (True, 1, 1)])
+def test_those_that_never_asked_or_ask_nonsense_make_room_first(asked, faults, gone):
+    place = SimpleNamespace(connections=4, memory=16000, listen=("127.0.0.1", 0))
+    gate, left = Gate(place, None, None, Quiet(), Counters()), []
+    pairs = [socket.socketpair() for _ in range(2)]
+    clients = [Client(ours, gate, False) for ours, _ in pairs]
+    for number, client in enumerate(clients):
+        client.asked, client.since = True, number  # both rested for long, the first for longer
+        client.leave = lambda reason, number=number: left.append(number)
+    clients[1].asked, clients[1].faults = asked, faults
+    gate.clients = set(clients)
+    assert gate.made_room() and left == [gone]
+    gate.listener.close()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -78,7 +78,9 @@
     [
         "HELLO", "Q.ASK", "Q.ASK k i", "Q.ASK k i c=odd,d=10", "Q.ASK k i c=look", "Q.ASK k i c=look,d=0",
         "Q.ASK k i c=look,d=-5", "Q.ASK k i c=look,d=nan", "Q.ASK k i c=buy,d=10", "Q.DO k i c=look,d=10",
-        "Q.DO k i c=hold,d=10", "Q.ASK k i junk", "Q.ASK k i c=look,d=10,h=x",
+        "Q.DO k i c=hold,d=10", "Q.ASK k i junk", "Q.ASK k i c=look,d=10,h=x", "Q.ASK k i c=look,d=1e3",
+        "Q.ASK k i c=look,d=+5", "Q.ASK k i c=look,d=10 BODY", "Q.ASK k i c=look,d=10,d=20", "Q.ASK k",
+        "Q.ASK k i c=look,d=1_0", "Q.DO k i c=hold,d=10,k=", "Q.ASK k " + "i" * 200 + " c=look,d=10",
     ],
 )
 def test_a_command_that_makes_no_sense_gets_an_error_and_the_connection_stays(shared, words):
@@ -87,6 +89,49 @@
     assert client.ask().read() == b"aa"
 
 
+def test_a_client_that_goes_on_with_nonsense_is_read_ever_more_slowly(shared):
+    client = shared.client()
+    began = time.monotonic()
+    assert isinstance(client.write(resp.command([b"Q.ASK", b"k"]) * 5).read(), resp.Fault)
+    assert all(isinstance(client.read(), resp.Fault) for _ in range(4)) and time.monotonic() - began >= 0.9
+
+
+def test_the_id_of_an_open_lookup_gets_an_error_and_the_open_one_its_own_answer(tmp_path):
+    hold = threading.Event()
+    server = InstanceServer(lambda words: hold.wait(60) and gives(words[1]))
+    with gateway(tmp_path, server.start()) as ran:
+        client, other = ran.client(), ran.client()
+        client.write(resp.command([b"Q.ASK", b"mine", b"id1", b"c=look,d=20000"]))
+        until(lambda: server.got)
+        other.write(resp.command([b"Q.ASK", b"theirs", b"id1", b"c=look,d=20000"]))
+        assert other.read().startswith(b"ERR ")
+        hold.set()
+        assert client.read() == b"mine" and other.ask().read() == b"aa"
+
+
+def test_what_cannot_be_read_is_turned_away_soon_though_a_lookup_before_it_waits(tmp_path):
+    hold = threading.Event()
+    with gateway(tmp_path, InstanceServer(lambda words: hold.wait(60) and None).start()) as ran:
+        client = ran.client().ask(lane="buy").write(b"noise\r\n")
+        began = time.monotonic()
+        assert client.read() == b"ERR aborted" and client.read().startswith(b"ERR ") and client.read() is None
+        assert time.monotonic() - began < 3
+        hold.set()
+
+
+@pytest.mark.parametrize(
+    "data, reason", [(b"", "silent"), (b"*4\r\n$5\r\nQ.A", "malformed"), (b"no end", "malformed"),
+                     (b"*1\r\n$4\r\nPING\r\n", "rest"), (b"*1\r\n$60000000\r\n" + b"x" * 9999, "malformed")],
+)
+def test_a_connection_that_holds_a_place_for_nothing_ends(tmp_path, data, reason):
+    with gateway(tmp_path, InstanceServer().start()) as ran:
+        client = ran.client().write(data)
+        answers = list(iter(client.read, None))
+        assert any(isinstance(answer, resp.Fault) for answer in answers) is (reason == "malformed")
+        until(lambda: f'event="client ended" gateway=g0 reason={reason}' in ran.log())
+        assert ran.client().ask().read() == b"aa"
+
+
 @pytest.fixture(scope="module")
 def shared(tmp_path_factory):
     with gateway(tmp_path_factory.mktemp("shared"), InstanceServer().start()) as ran:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -66,6 +66,13 @@
         fed(resp.Reader(commands=True), [data], resp.MORE)
 
 
+def test_a_command_is_bounded_as_a_whole_and_an_answer_by_its_strings():
+    data = b"*3\r\n" + resp.bulk(b"x" * 60000) * 2 + b"$-1\r\n"
+    assert len(fed(resp.Reader(), [data], resp.MORE)[0]) == 3
+    with pytest.raises(resp.Malformed):
+        fed(resp.Reader(commands=True), [data], resp.MORE)
+
+
 def test_what_is_written_is_read_again():
     words = [b"Q.DO", b"key", b"", b"a\r\nb"]
     assert fed(resp.Reader(commands=True), [resp.command(words)], resp.MORE) == [words]
