--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -20,7 +20,7 @@
 EXTRA = 8  # connections past the bound, whose lookups are pushed back
 LOOK = 1.0  # seconds without a byte after which a connection is looked at
 PART = 0.9  # seconds from a connection's start to its first command; from a command's first byte to its last
-REST = 4.0  # seconds between lookups after which a connection ends: some clients ask once and hold it
+REST = 2.0  # seconds between lookups after which a connection ends: some clients ask once and hold it
 # Seconds without a lookup after which a connection may make room: where none ever came, at the bound, past
 # the extra ones. Its next lookup may be on its way, the more likely the sooner after the last answer.
 MUTE, UNUSED, HARDLY_USED = 0.1, 0.5, 0.05
@@ -130,7 +130,7 @@
             return self.refuse(words, f"{type(error).__name__}: {error}"[:100])
         ask = Ask(self, words, None, lookup)
         self.put(ask)
-        desk, turned_away = self.gate.desk, self.extra and len(self.gate.clients) > self.gate.most
+        desk, turned_away = self.gate.desk, self.extra and self.gate.crowded()
         if ask.weight and not self.gate.weigh(ask.weight):
             ask.weight, turned_away = 0, True
         desk.tell(desk.lookup_turned_away if turned_away else desk.lookup_arrived, ask, lookup)
@@ -315,8 +315,10 @@
 
     def made_room(self):
         """Whether there is room within the bound; past the extra clients it waits until one is gone. Those
-        that never asked, or ask what makes no sense, make room before the usual ones."""
-        while len(self.clients) >= self.most:
+        that never asked, or ask what makes no sense, make room before the usual ones. Unused connections go
+        from half the bound on: clients may have a bound of their own, and those that hold theirs for good
+        would keep out all others. It could end some that are used again: they come anew."""
+        while len(self.clients) >= self.most // 2:
             with self.room:
                 clients = list(self.clients)
             full, moment = len(clients) >= self.most + EXTRA, time.monotonic()
@@ -327,11 +329,17 @@
             if idle:
                 min(idle, key=lambda client: client.since).leave("made room")
             if not full:
-                return bool(idle)
+                return bool(idle) or len(clients) < self.most
             with self.room:
                 self.room.wait(HARDLY_USED)
         return True
 
+    def crowded(self):
+        """Whether more clients than the bound wait for answers. Guards against places held for nothing: those
+        that say nothing must not have lookups past the bound pushed back."""
+        with self.room:
+            return sum(bool(client.asks) for client in self.clients) > self.most
+
     def weigh(self, size):
         """Counts so many bytes more; False, and not counted, if that would be too many."""
         with self.room:
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -231,9 +231,11 @@
     gate.listener.close()
 
 
-@pytest.mark.parametrize("asked, faults, gone", [(True, 0, 0), (False, 0, 1), (True, 1, 1)])
-def test_those_that_never_asked_or_ask_nonsense_make_room_first(asked, faults, gone):
-    place = SimpleNamespace(connections=4, memory=16000, listen=("127.0.0.1", 0))
+@pytest.mark.parametrize(
+    "asked, faults, bound, gone", [(True, 0, 2, 0), (False, 0, 2, 1), (True, 1, 2, 1), (True, 0, 4, 0)]
+)
+def test_those_that_never_asked_or_ask_nonsense_make_room_first(asked, faults, bound, gone):
+    place = SimpleNamespace(connections=2 * bound, memory=16000, listen=("127.0.0.1", 0))
     gate, left = Gate(place, None, None, Quiet(), Counters()), []
     pairs = [socket.socketpair() for _ in range(2)]
     clients = [Client(ours, gate, False) for ours, _ in pairs]
@@ -272,6 +274,23 @@
     assert list(made.balancer.members) == ["i1"] == list(made.instances.pools)
 
 
+@pytest.mark.parametrize("waiting, crowded", [(1, False), (2, False), (3, True)])
+def test_past_the_bound_only_clients_that_wait_for_answers_count(waiting, crowded):
+    place = SimpleNamespace(connections=4, memory=16000, listen=("127.0.0.1", 0))
+    told, desk = [], SimpleNamespace(lookup_turned_away="away", lookup_arrived="arrived", TWICE=b"-")
+    desk.tell = lambda happened, *_: told.append(happened)
+    gate = Gate(place, desk, None, Quiet(), Counters())
+    gate.lookup = lambda *_: lookup()
+    pairs = [socket.socketpair() for _ in range(4)]
+    client, *others = clients = [Client(ours, gate, True) for ours, _ in pairs]
+    for other in others[: waiting - 1]:
+        other.asks.append(None)
+    gate.clients = set(clients)
+    client.take(WORDS)
+    assert told == ["away" if crowded else "arrived"]
+    gate.listener.close()
+
+
 def test_what_waits_to_be_accepted_is_still_taken_when_the_door_closes():
     place = SimpleNamespace(connections=8, memory=16000, listen=("127.0.0.1", 0))
     gate, taken = Gate(place, None, None, Quiet(), Counters()), []
