Unused clients' connections end after a quarter second from half the bound on, by themselves

At fault: Client.rests, 2 s at any number of connections, looked at once a second. Now looked at each 0.25 s, and from half the bound on that is all the rest there is.

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -18,9 +18,11 @@
 SLOWEST = 5  # seconds for which a client may take none of its answers
 KNOCKS = 0.1  # seconds for which a new connection is waited for at a time
 EXTRA = 8  # connections past the bound, whose lookups are pushed back
-LOOK = 1.0  # seconds without a byte after which a connection is looked at
+LOOK = 0.25  # seconds without a byte after which a connection is looked at
 PART = 0.9  # seconds from a connection's start to its first command; from a command's first byte to its last
-REST = 2.0  # seconds between lookups after which a connection ends: some clients ask once and hold it
+# Seconds between lookups after which a connection ends: some clients ask once and hold it. The shorter ones
+# hold from half the bound on.
+REST, SHORT_REST = 2.0, 0.25
 # Seconds without a lookup after which a connection may make room: where none ever came, at the bound, past
 # the extra ones. Its next lookup may be on its way, the more likely the sooner after the last answer.
 MUTE, UNUSED, HARDLY_USED = 0.1, 0.5, 0.05
@@ -95,11 +97,14 @@
             self.weigh()
 
     def rests(self):
-        """Why it is ended, if it has stood between lookups, or without the first, for too long."""
+        """Why it is ended, if it has stood between lookups, or without the first, for too long. Clients may
+        have a bound of their own, and those that hold theirs for good keep out all others, long before there
+        is no room here. It could end some that are used again: they come anew."""
+        rest = REST if len(self.gate.clients) < self.gate.most // 2 else SHORT_REST
         with self.room:
             if self.asks or self.unsent or not self.reader.empty():
                 return None
-            if time.monotonic() - self.since < (REST if self.asked else PART):
+            if time.monotonic() - self.since < (rest if self.asked else PART):
                 return None
             self.reason = self.reason or ("rest" if self.asked else "silent")
             return self.reason
@@ -315,10 +320,8 @@
 
     def made_room(self):
         """Whether there is room within the bound; past the extra clients it waits until one is gone. Those
-        that never asked, or ask what makes no sense, make room before the usual ones. Unused connections go
-        from half the bound on: clients may have a bound of their own, and those that hold theirs for good
-        would keep out all others. It could end some that are used again: they come anew."""
-        while len(self.clients) >= self.most // 2:
+        that never asked, or ask what makes no sense, make room before the usual ones."""
+        while len(self.clients) >= self.most:
             with self.room:
                 clients = list(self.clients)
             full, moment = len(clients) >= self.most + EXTRA, time.monotonic()
@@ -329,7 +332,7 @@
             if idle:
                 min(idle, key=lambda client: client.since).leave("made room")
             if not full:
-                return bool(idle) or len(clients) < self.most
+                return bool(idle)
             with self.room:
                 self.room.wait(HARDLY_USED)
         return True
