A client's unanswered lookups and the platform's address are each found in one place

Read once more: turn_away and close held the same list twice, refuse was called once, read took release_api apart twice.

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -132,7 +132,9 @@
         try:
             lookup = self.gate.lookup(arrived, name, words)
         except (ValueError, KeyError) as error:
-            return self.refuse(words, f"{type(error).__name__}: {error}"[:100])
+            text = f"{type(error).__name__}: {error}"[:100]
+            self.put(Ask(self, (), resp.error(f"ERR no lookup: {text}")))
+            return self.fault()
         ask = Ask(self, words, None, lookup)
         self.put(ask)
         desk, turned_away = self.gate.desk, self.extra and self.gate.crowded()
@@ -142,10 +144,6 @@
         if ask.answer is desk.TWICE:
             self.fault()
 
-    def refuse(self, words, text):
-        self.put(Ask(self, words[:0], resp.error(f"ERR no lookup: {text}")))
-        self.fault()
-
     def fault(self):
         """The error is on its way; what such a client sends next, maybe at full speed, can wait."""
         self.gate.counters.add("bad lookups")
@@ -164,7 +162,7 @@
         """What cannot be read gets an error, soon though earlier lookups wait; then the connection ends."""
         with self.room:
             self.room.wait_for(lambda: not self.asks or self.broken, PATIENCE)
-            lookups = [ask.lookup for ask in self.asks if ask.lookup and ask.answer is None]
+            lookups = self.unanswered()
         if lookups:
             self.gate.desk.tell(self.gate.desk.cut_short, lookups)
         self.put(Ask(self, (), resp.error(f"ERR {error}")))
@@ -178,6 +176,9 @@
             while left > 0 and time.monotonic() < until and (data := self.sock.recv(65536)):
                 left -= len(data)
 
+    def unanswered(self):
+        return [ask.lookup for ask in self.asks if ask.lookup and ask.answer is None]
+
     def doubtful(self):
         return not self.asked or self.faults > 0
 
@@ -250,7 +251,7 @@
         with self.room:
             while self.writing:
                 self.room.wait()
-            lookups = [ask.lookup for ask in self.asks if ask.lookup and ask.answer is None]
+            lookups = self.unanswered()
             self.weight += sum(ask.weight for ask in self.asks)
             self.asks.clear()
             self.sock.close()
--- a/lemonlead/gateway/place.py
+++ b/lemonlead/gateway/place.py
@@ -68,8 +68,7 @@
         return json.load(file)
 
 
-def platform_of(config):
-    desk = config.get("release_api") or {}
+def platform_of(desk):
     return address(desk["address"]) if "address" in desk else None
 
 
@@ -85,7 +84,7 @@
             name=environment.get("ROUTER_NAME") or config["name"],
             listen=address(environment.get("ROUTER_LISTEN") or config["listen"]),
             discovery=address(environment.get("ROUTER_DISCOVERY") or config["discovery"]),
-            platform=platform_of(config),
+            platform=platform_of(desk),
             connections=max(int(limits.get("sockets", 1024)) - SPARE, 2),
             memory=int(float(limits.get("memory_mb", 192)) * 2**20), start=start,
             lanes={lane["Name"]: start.lanes[n] for n, lane in enumerate(told.get("Lanes", []))},
@@ -101,4 +100,4 @@
     start, so here the file wins; its list and news are no newer than what was told since, and are left."""
     with unfit():
         config = load(environment)
-        return address(config["discovery"]), platform_of(config)
+        return address(config["discovery"]), platform_of(config.get("release_api") or {})
