The stand-in platform tells a state that changes while it answers NOTIFY

Cause: on a busy machine the suite failed now and then, 'waited in vain' for 60 s in the test of votes (2 of 64 runs, 16 at a time). The stand-in read its state twice, once for the line that it wrote and once for what it held as told; a change between the two was never told, so the gateway knew of no trial and had nothing to vote on. The vote path was not at fault: the failed runs' logs show no vote and no finding. Change: the state is read once. Measured: with a pause of 0.7 s put between the two reads all three cases failed; with the same pauses round the one read all pass.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -242,8 +242,8 @@
                 sock.sendall(self.answer(line).encode() + b"\r\n")
                 continue
             self.asked += 1
-            sock.sendall(f"OK\r\n* stage {self.state}\r\n".encode())
-            told = self.state
+            told = self.state  # read once: a change after this line is told below, one before it here
+            sock.sendall(f"OK\r\n* stage {told}\r\n".encode())
             while True:
                 with self.changed:
                     self.changed.wait_for(lambda told=told: self.state != told, 1.0)
