Expression language, rule sets with an index, typed settings, stand-ins and a command line

Need: operators sort lookups into lanes and compute keys without a new build of the gateway, and no rule may slow it. The module counts lookups by the lane asked and by the lane given where a cap counts by lane, and keeps both keys.

--- /dev/null
+++ b/lemonlead/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m lemonlead`: the command line."""
+
+from .commands import main
+
+if __name__ == "__main__":
+    main()
--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -93,8 +93,9 @@
 
     def lookup_arrived(self, now, lookup):
         lookup.work = lookup.work or int(self.lane_work[lookup.lane.number])
-        self.taken.setdefault(self.count_of(lookup), deque()).append(now)
-        recent(self.taken[self.count_of(lookup)], now - self.taken_window)
+        for counted in self.counts_of(lookup):
+            self.taken.setdefault(counted, deque()).append(now)
+            recent(self.taken[counted], now - self.taken_window)
         self.mean_work += 0.01 * (lookup.work - self.mean_work)
         self.rescues = min(self.rescues + RESCUES, 20.0)
         if self.trial is not None:
@@ -147,7 +148,7 @@
             member.limit += 0.25 / member.limit
         member.build.answers += end == SUCCEEDED
         if end == SUCCEEDED and self.forward_only and lookup.key:
-            member.build.keys.add(lookup.key)
+            member.build.keys.update({lookup.key, lookup.asked_key or lookup.key})
         # Answers are the build's, and what was waited for in vain while others got theirs; the path is not.
         theirs = end in (SUCCEEDED, ERRED) or slow and not over and (self.blind > 0.5 or not silent)
         if self.pair_at is not None and not waits and theirs:
@@ -230,7 +231,8 @@
         member.out[send] = None
         member.held += lookup.work
         if self.on_trial(member.build):
-            member.build.sent.setdefault(self.count_of(lookup), deque()).append(now)
+            for counted in self.counts_of(lookup):
+                member.build.sent.setdefault(counted, deque()).append(now)
             member.build.credit = max(member.build.credit - 1.0, -3.0)
         member.cold_from, member.cold_due = self.work_in, lookup.work * len(self.members)
         door.send(lookup, member.id, lookup.hard_stop - now)
@@ -341,8 +343,9 @@
                 return False
         if (can := self.able(member, now)) < 1 and (self.work_in - member.cold_from) * can < member.cold_due:
             return False
-        if self.told is not None and member.build.number < self.told.number and lookup.key in self.told.keys:
-            return self.told.phase not in (ON_TRIAL, RELEASED)  # keys are kept only where they bind
+        told, keys = self.told, (lookup.key, lookup.asked_key)  # keys are kept only where they bind
+        if told is not None and member.build.number < told.number and not told.keys.isdisjoint(keys):
+            return told.phase not in (ON_TRIAL, RELEASED)
         return not self.on_trial(member.build) or self.exposure_left(member.build, lookup, now)
 
     def may_begin(self, now, send):
@@ -356,9 +359,12 @@
         stage = build.stage if build is self.told else 0
         if build.cap <= 0 or (stage < self.guarded_stages and lookup.lane.effect != HARMLESS):
             return False
-        sent = recent(build.sent.get(self.count_of(lookup), ()), now - self.sent_window - 1)
-        taken = recent(self.taken.get(self.count_of(lookup), ()), now - self.taken_window)
-        return sent + more <= self.free_sends + build.cap * taken
+        for counted in self.counts_of(lookup):
+            sent = recent(build.sent.get(counted, ()), now - self.sent_window - 1)
+            taken = recent(self.taken.get(counted, ()), now - self.taken_window)
+            if sent + more > self.free_sends + build.cap * taken:
+                return False
+        return True
 
     def warmth(self, member, now):  # the share of its capacity that it is sure to have; 1 when it is warm
         age = now - member.started if member.started else self.cold_time
@@ -373,8 +379,12 @@
             return build is self.trial
         return build.number > self.told.number or (build is self.told and build.phase != RELEASED)
 
-    def count_of(self, lookup):
-        return lookup.lane.number if self.per_lane else 0
+    def counts_of(self, lookup):
+        """What a cap counts it by. Where rules may give another lane, the cap holds for the lane asked as
+        well as for the lane given: neither lends the other what it took."""
+        if not self.per_lane:
+            return (0,)
+        return (lookup.lane.number,) if lookup.asked is None else (lookup.asked.number, ~lookup.lane.number)
 
     def wake(self, at, lookup):
         heapq.heappush(self.wakes, (at, next(self.turns), lookup))
--- /dev/null
+++ b/lemonlead/commands/attempt.py
@@ -0,0 +1,116 @@
+"""`lemonlead try`: a gateway among stand-ins, a few lookups, and where each went."""
+
+import json
+import os
+import re
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+import click
+
+RULES = """\
+version: "try-1"
+rules: [
+ {name: "big-customer", when: "lookup.lane == 'look' && lookup.customer == 'acme' &&
+ lookup.key.startsWith('big/')", customer: "'others'", labels: {tier: "big"}}, {name: "careful", when:
+ "lookup.lane == 'hold' && lookup.key.endsWith('!')", lane: "'buy'", labels: {tier: "once"}}, {name: "canary",
+ when: "hash(lookup.key) % 100 < 25", labels: {tier: "canary"}}, ] """
+LOOKUPS = [
+    ("look", "north/1"),
+    ("look", "big/7"),
+    ("hold", "part-9"),
+    ("hold", "part-9!"),
+    ("buy", "seat-3"),
+    ("look", "south/2"),
+    ("look", "big/8"),
+    ("look", "east/5"),
+    ("look", "west/11"),
+]
+
+
+@click.command(name="try")
+@click.option("--rules", "file", metavar="FILE", help="A set of rules in place of the one shown.")
+@click.option("--json", "as_json", is_flag=True, help="For machines.")
+def command(file, as_json):
+    """Start three stand-in instances, discovery, a platform and a gateway on loopback, ask some lookups, show
+    where each went and which rule it matched, and stop. Nothing else is needed, and nothing is left behind.
+
+    Example: lemonlead try
+    """
+    from ..standins.fleet import SETTINGS, gateway
+    from ..standins.instances import Machine
+
+    rules = Path(file).read_text() if file else RULES
+    settings = {"Projects": [{"Name": "acme", "QuotaPerS": 10.0}, {"Name": "others", "QuotaPerS": 10.0}]}
+    machines = [Machine(work=0.005, slots=3, seed=number).start() for number in range(3)]
+    with tempfile.TemporaryDirectory(prefix="lemonlead-try-") as folder:
+        config = Path(folder) / "lanes.json"
+        config.write_text(json.dumps({**SETTINGS, **settings}))
+        judge = judged_by(rules, Path(folder), config)
+        with gateway(Path(folder), *machines, settings=settings, rules=rules) as ran:
+            rows = [ask(ran.client(), machines, judge, lane, key) for lane, key in LOOKUPS]
+            counts = ran.counters()
+            ran.process.send_signal(signal.SIGTERM)
+            code = ran.process.wait(30)
+            reasons = sorted(set(re.findall(r"reason=(\S+)", ran.log())))
+    told = {"lookups": rows, "counters": counts, "exit": code, "reasons": reasons}
+    if as_json:
+        return click.echo(json.dumps(told))
+    from rich.console import Console
+    from rich.table import Table
+
+    table = Table(
+        "lane", "key", "rule", "treated as", "went to", "ms", "answer", title="A gateway among stand-ins"
+    )
+    for row in rows:
+        table.add_row(
+            *(str(row[name]) for name in ("lane", "key", "rule", "treated_as", "went_to", "ms", "answer"))
+        )
+    console = Console()
+    console.print(table)
+    console.print(
+        f"taken {counts['taken']}, succeeded {counts.get('succeeded', 0)}, sends {counts['sends']}; "
+        f"the gateway ended with code {code}"
+    )
+
+
+def judged_by(rules, folder, config):
+    """What the rules give a lookup, reckoned here beside the gateway; None where they are unfit (it then says
+    so)."""
+    from ..matching import load
+    from . import given
+
+    (folder / "judged.cue").write_text(rules)
+    lanes, customers = given.platform(config)
+    try:
+        made = load.load(folder / "judged.cue", lanes, customers)
+    except load.Unfit as error:
+        raise click.UsageError("\n".join(load.lines(error.faults))) from None
+
+    def judge(lane, key):
+        told = {"lane": lane, "key": key, "customer": "acme", "stamped": lane == "hold"}
+        result = made.judge(given.asked(told, made.declared))
+        return result.rule and result.rule.name, made.numbers[result.lane.number] if result.lane else lane
+
+    return judge
+
+
+def ask(client, machines, judge, lane, key):
+    before = [len(machine.got) for machine in machines]
+    began = time.monotonic()
+    stamp = {"k": os.urandom(4).hex()} if lane == "hold" else {}
+    answer = client.ask(key.encode(), lane, **stamp).read()
+    took = time.monotonic() - began
+    went = [f"i{n}" for n, machine in enumerate(machines) if len(machine.got) > before[n]]
+    rule, treated = judge(lane, key)
+    return {
+        "lane": lane,
+        "key": key,
+        "rule": rule or "-",
+        "treated_as": treated,
+        "went_to": " ".join(went) or "-",
+        "ms": round(took * 1e3, 1),
+        "answer": answer.decode("utf-8", "replace") if answer is not None else None,
+    }
--- /dev/null
+++ b/lemonlead/commands/given.py
@@ -0,0 +1,103 @@
+"""What commands are given by words and files, read with one clear error each; and how values are shown."""
+
+import base64
+import json
+import math
+from pathlib import Path
+
+import click
+
+from ..matching.declared import Asked
+from ..matching.kinds import BYTES, DOUBLE, DURATION
+from ..told import in_ns, started
+
+FIELDS = {
+    "command": str,
+    "key": str,
+    "lane": str,
+    "customer": str,
+    "wait_ms": (int, float),
+    "work_us": (int, float),
+    "repeat": bool,
+    "stamped": bool,
+    "body_size": int,
+    "attributes": dict,
+}
+FAR = 10**9  # the most of wait_ms and work_us, as on the wire
+
+
+def lookup_told(text):
+    """A lookup's fields from JSON; a usage error that names what is wrong."""
+    try:
+        told = json.loads(text) if text else {}
+    except (ValueError, RecursionError) as error:
+        raise click.UsageError(f"--lookup: no JSON: {error}") from None
+    if not isinstance(told, dict):
+        raise click.UsageError('--lookup: a JSON object was expected, as in {"key": "north/42"}')
+    for name, value in told.items():
+        if name not in FIELDS:
+            raise click.UsageError(f"--lookup: no field {name!r}; there is {', '.join(FIELDS)}")
+        if not isinstance(value, FIELDS[name]) or isinstance(value, bool) != (FIELDS[name] is bool):
+            wanted = getattr(FIELDS[name], "__name__", "number")
+            raise click.UsageError(f"--lookup: {name} is {json.dumps(value)[:40]}, {wanted} was expected")
+        if isinstance(value, int | float) and not 0 <= value <= FAR:
+            raise click.UsageError(f"--lookup: {name} is {value}, 0 to {FAR} was expected")
+    for name, value in told.get("attributes", {}).items():
+        if not isinstance(value, str):
+            raise click.UsageError(
+                f"--lookup: attributes.{name} is {json.dumps(value)[:40]}, a string was expected"
+            )
+    return told
+
+
+def asked(told, declared):
+    """The lookup as expressions see it."""
+    return Asked(
+        declared,
+        told.get("command", "Q.ASK"),
+        told.get("key", ""),
+        told.get("lane", ""),
+        told.get("customer", ""),
+        in_ns(float(told.get("wait_ms", 0))),
+        int(told.get("work_us", 0) * 1000),
+        told.get("repeat", False),
+        told.get("stamped", False),
+        told.get("body_size", 0),
+        told.get("attributes", {}),
+    )
+
+
+def platform(path):
+    """Lanes by name and customers' names from a gateway's configuration, or from its `settings` object alone;
+    (None, None) without a path."""
+    if path is None:
+        return None, None
+    try:
+        config = json.loads(Path(path).read_text())
+        told = config.get("settings", config)
+        start = started(told, 0, 0)
+        lanes = {lane["Name"]: start.lanes[number] for number, lane in enumerate(told["Lanes"])}
+        return lanes, [customer["Name"] for customer in told.get("Projects", [])]
+    except (OSError, ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        raise click.UsageError(f"--settings {path}: {type(error).__name__}: {error}") from None
+
+
+def shown(value, kind):
+    """A value as JSON has it: a duration as seconds with an s, bytes in base64, doubles that are no number by
+    name."""
+    if kind == DURATION:
+        whole, part = divmod(abs(value), 10**9)
+        text = f"{whole}.{part:09d}".rstrip("0").rstrip(".")
+        return f"{'-' if value < 0 else ''}{text}s"
+    if kind == BYTES:
+        return base64.b64encode(value).decode()
+    if kind == DOUBLE and not math.isfinite(value):
+        return "NaN" if value != value else "Infinity" if value > 0 else "-Infinity"
+    if kind.name == "list":
+        return [shown(item, kind.of) for item in value]
+    if kind.name == "map":
+        return {
+            key if isinstance(key, str) else json.dumps(key): shown(item, kind.of)
+            for key, item in value.items()
+        }
+    return value
--- /dev/null
+++ b/lemonlead/commands/settings.py
@@ -0,0 +1,77 @@
+"""`lemonlead settings`: files of typed records."""
+
+import json
+import sys
+
+import click
+
+from .. import settings
+
+SCHEMAS = ("rules", "gateway")
+SCHEMA = click.option(
+    "--schema",
+    type=click.Choice(SCHEMAS),
+    default="gateway",
+    show_default=True,
+    help="What kind of file it is.",
+)
+JSON = click.option("--json", "as_json", is_flag=True, help="For machines.")
+
+
+@click.group(name="settings")
+def command():
+    """Check and show settings files."""
+
+
+def read(file, schema, as_json):
+    try:
+        return settings.read(file, settings.schema_text(schema), f"schema:{schema}")
+    except settings.Unfit as error:
+        faults = error.faults
+        click.echo(
+            json.dumps({"faults": [fault.read() for fault in faults]})
+            if as_json
+            else "\n".join(f"{fault.place}: {fault.code} {fault.message}" for fault in faults)
+        )
+        sys.exit(1)
+
+
+@command.command()
+@click.argument("file")
+@SCHEMA
+@JSON
+def check(file, schema, as_json):
+    """Check a file: one line a fault, all of them at once.
+
+    Example: lemonlead settings check deploy/rules/gateway.cue
+    """
+    told = read(file, schema, as_json)
+    click.echo(
+        json.dumps({"faults": [], "digest": told.digest}) if as_json else f"fine: digest {told.digest}"
+    )
+
+
+@command.command()
+@click.argument("file")
+@SCHEMA
+@JSON
+def show(file, schema, as_json):
+    """Show what a file says once all is unified, with the place of each value. Durations are in nanoseconds.
+
+    Example: lemonlead settings show deploy/rules/rules.cue --schema rules
+    """
+    told = read(file, schema, as_json)
+    if as_json:
+        return click.echo(json.dumps(told.value))
+    for path, literal in told.literals.items():
+        click.echo(f"{path} = {json.dumps(literal.value)}  ({literal.place})")
+
+
+@command.command()
+@click.argument("name", type=click.Choice(SCHEMAS))
+def schema(name):
+    """Print a schema: every field with its type, bounds and default.
+
+    Example: lemonlead settings schema rules
+    """
+    click.echo(settings.schema_text(name), nl=False)
--- a/lemonlead/gateway/__main__.py
+++ b/lemonlead/gateway/__main__.py
@@ -1,5 +1,6 @@
 """`python -m lemonlead.gateway`: one gateway, as its environment and configuration say."""
 
+import os
 import signal
 import sys
 import threading
@@ -51,6 +52,13 @@
         discovery.listed(places.now(), *known, True, False)
         if place.news is not None:
             desk.balancer.stage_told(places.now(), *place.news)
+    if path := os.environ.get("LEMONLEAD_SETTINGS"):
+        from . import sorting  # what it needs is not imported while no rules are asked for
+
+        gate.sorting = sorting.Sorting(place, path, desk, log, counters)
+        if (reason := gate.sorting.load(places.now())) is not None:
+            print(f"lemonlead.gateway: the rules cannot be used: {reason}", file=sys.stderr)
+            return 2
     gate.open()
     threads = [gate.run, desk.keep_time, discovery.run]
     threads += [releases.hear, releases.poll] if place.platform else []
@@ -61,8 +69,12 @@
     while (asked := signal.sigwait(SIGNALS)) in (signal.SIGUSR1, signal.SIGHUP):
         if asked == signal.SIGUSR1:
             log.info("counters", **figures(desk))
+            if gate.sorting is not None:
+                gate.sorting.tell()
         else:
             move(discovery, releases, log)
+            if gate.sorting is not None:
+                gate.sorting.load(places.now())
     return stop(gate, desk, log)
 
 
--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -275,6 +275,7 @@
         self.closed = threading.Event()
         self.clients, self.room = set(), threading.Condition()
         self.held, self.most_held = 0, place.memory // 8  # bytes of large commands, of all clients
+        self.sorting = None  # rules over lookups, where they are switched on
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, seconds(KNOCKS))
@@ -391,4 +392,8 @@
             raise ValueError("this lane goes by the other command")
         customer = self.place.customers.get(said.get("t"), -1)
         stop = arrived + in_ns(wait)
-        return at.Lookup(id, lane, customer, key, arrived, stop, int(float(hint) * 1e3), said.get("r") == "1")
+        work, repeat = int(float(hint) * 1e3), said.get("r") == "1"
+        lookup = at.Lookup(id, lane, customer, key, arrived, stop, work, repeat)
+        if self.sorting is not None:
+            self.sorting.sort(arrived, lookup, words, said)
+        return lookup
--- /dev/null
+++ b/lemonlead/gateway/sorting.py
@@ -0,0 +1,128 @@
+"""The gateway's way into the rules: reads them, asks them for each lookup, and logs what they do.
+
+Imported only where LEMONLEAD_SETTINGS names a file. No rule is decided here: what a lookup gets, and what no
+rule may do, is in `lemonlead/matching/rules.py`."""
+
+import time
+import traceback
+from pathlib import Path
+
+from .. import settings
+from .. import interface as at
+from ..matching import load
+from ..matching.declared import Asked
+from ..matching.standing import Standing
+
+MOST_SHOWN = 20  # names of rules in one log line
+
+
+class Sorting:
+    def __init__(self, place, path, desk, log, counters):
+        self.place, self.path, self.desk, self.log, self.counters = place, Path(path), desk, log, counters
+        self.names = {lane.number: name for name, lane in place.lanes.items()}
+        self.standing = Standing()
+
+    # ---- reading
+
+    def load(self, now):
+        """Puts the sets that the settings now name in force, both or neither; why not, if they cannot be
+        used. The sets in force stay in that case."""
+        began = time.monotonic()
+        try:
+            active, shadow, share = self.read()
+        except (settings.Unfit, load.Unfit) as error:
+            old = self.standing.active
+            self.log.warning(
+                "rules unfit",
+                reason=str(error)[:300],
+                faults=len(error.faults),
+                kept=old.version if old else "none",
+                digest=old.digest if old else "none",
+            )
+            return str(error)
+        self.standing.put(active, shadow, share, now)
+        for what, rules in (("active", active), ("shadow", shadow)):
+            if rules is not None:
+                self.log.info(
+                    "rules read",
+                    set=what,
+                    version=rules.version,
+                    digest=rules.digest,
+                    rules=len(rules.rules),
+                    cost=rules.cost,
+                    took_ms=int((time.monotonic() - began) * 1e3),
+                )
+        return None
+
+    def read(self):
+        told = settings.read(self.path, settings.schema_text("gateway")).value.get("rules")
+        if told is None:
+            return None, None, 0.0
+        active = self.rules(told["file"])
+        shadow = self.rules(told["shadow"]) if "shadow" in told else None
+        return active, shadow, told["shadow_share"]
+
+    def rules(self, name):
+        return load.load(self.path.parent / name, self.place.lanes, self.place.customers)
+
+    # ---- for each lookup
+
+    def sort(self, now, lookup, words, said):
+        """Gives a lookup that has just been read what the rules say. It goes as it was asked if anything
+        fails: rules may sort lookups, they may not lose one."""
+        if self.standing.active is None:
+            return
+        lookup.asked = lookup.lane
+        try:
+            seen = self.seen(lookup, words, said)
+            given = self.standing.judge(seen, lambda rule, fault: self.erred(now, rule, fault))
+            self.give(lookup, given)
+            if self.standing.shadow is not None and self.standing.wants_shadow(now):
+                began = time.thread_time_ns()
+                self.standing.try_shadow(seen, given)
+                self.standing.spent(time.thread_time_ns() - began)
+        except Exception:
+            self.counters.add("rules faults")
+            self.desk.fault(traceback.format_exc())
+
+    def seen(self, lookup, words, said):
+        """The lookup as it was asked, for whichever set's bounds; what rules then give it does not show."""
+        stamped = lookup.lane.effect == at.STAMPED or bool(said.get("k"))
+        told = (
+            words[0].upper().decode(),
+            lookup.key,
+            self.names[lookup.lane.number],
+            said.get("t", ""),
+            lookup.hard_stop - lookup.arrived,
+            lookup.work,
+            lookup.repeat,
+            stamped,
+            sum(map(len, words[4:])),
+        )
+        return lambda declared: Asked(declared, *told)
+
+    def give(self, lookup, given):
+        if given.rule is None:
+            return
+        self.counters.add("rules matched")
+        if given.lane is not None:
+            lookup.lane = given.lane
+        if given.key is not None:
+            lookup.key, lookup.asked_key = given.key, lookup.key
+        if given.customer is not None:
+            lookup.customer = self.place.customers.get(given.customer, -1)
+
+    def erred(self, now, rule, fault):
+        self.counters.add("rules erred")
+        if count := self.standing.to_log(now):
+            self.log.warning("rule erred", rule=rule.name, reason=fault.message, since_last=count)
+
+    def tell(self):
+        """Logs the counts of the sets in force."""
+        active, (kinds, differences) = self.standing.active, self.standing.read()
+        shown = {
+            kind: " ".join(f"{name}:{count}" for name, count in list(counts.items())[:MOST_SHOWN])
+            for kind, counts in kinds.items()
+        }
+        between = " ".join(f"{one}/{other}:{count}" for one, other, count in differences)
+        self.log.info("rules", version=active.version if active else "none", **shown, differences=between)
--- a/lemonlead/interface.py
+++ b/lemonlead/interface.py
@@ -128,6 +128,8 @@
     repeat: bool = False
     sends: list = field(default_factory=list)
     over: bool = False  # it has its final answer, or its client has left
+    asked: Lane | None = None  # the lane that the client named, where rules may give another; else None
+    asked_key: object = None  # the client's key, where a rule gave another
 
 
 class Door(Protocol):
--- /dev/null
+++ b/lemonlead/matching/expression.py
@@ -0,0 +1,40 @@
+"""An expression as the rest of the program has it: checked, with its type and cost, and ready to run."""
+
+import hashlib
+
+from . import exact, quick, tree
+from .checker import check, whole_cost
+from .faults import TYPE, Fault
+from .parser import parse
+
+
+class Expression:
+    """`Expression(text, declared)` raises Fault where the text is not one. `kind` is its type, `cost` the
+    steps of one evaluation at worst, with what the lookup declares as its bounds."""
+
+    __slots__ = ("text", "tree", "kind", "cost", "quick", "exact")
+
+    def __init__(self, text, declared, wanted=None):
+        self.text, self.tree = text, parse(text)
+        self.kind, self.cost = check(self.tree, declared), whole_cost(self.tree)
+        if wanted is not None and self.kind != wanted:
+            raise Fault(TYPE, f"the expression is {self.kind}, {wanted} was expected", *self.place())
+        if self.kind.name == "lookup":
+            raise Fault(TYPE, "a lookup is no value: name one of its fields", *self.place())
+        self.quick, self.exact = quick.compiled(self.tree), exact.compiled(self.tree)
+
+    def place(self):
+        first = min((node.line, node.column) for node in tree.walk(self.tree))
+        return first
+
+    def value(self, asked):
+        """The value for a lookup; Erred where it has none."""
+        try:
+            return self.quick(asked)
+        except exact.ERRORS:
+            return self.exact(asked)
+
+
+def digest(text):
+    """Twelve hexadecimal digits by which two texts are told apart."""
+    return hashlib.sha256(text.encode()).hexdigest()[:12]
--- /dev/null
+++ b/lemonlead/matching/load.py
@@ -0,0 +1,66 @@
+"""A set of rules from a file of settings. All that is wrong with it is told at once, each fault in its
+place."""
+
+from .. import settings
+from .declared import Declared
+from .rules import RuleSet, Written
+from .rules import Unfit as UnfitRules
+
+PARTS = ("when", "lane", "key", "customer", "labels")
+
+
+class Unfit(Exception):
+    """A file that gives no set: `faults` as (place, code, message), in their order."""
+
+    def __init__(self, faults):
+        self.faults = faults
+        more = f" and {len(faults) - 1} more" if len(faults) > 1 else ""
+        super().__init__(f"{lines(faults[:1])[0]}{more}")
+
+
+def lines(faults):
+    """One line a fault: FILE:LINE:COL: CODE message."""
+    return [f"{place}: {code} {message}" for place, code, message in faults]
+
+
+def read(path):
+    """The file's values and their places; Unfit."""
+    try:
+        return settings.read(path, settings.schema_text("rules"))
+    except settings.Unfit as error:
+        raise Unfit([(fault.place, fault.code, fault.message) for fault in error.faults]) from None
+
+
+def load(path, lanes=None, customers=None):
+    """The set that a file gives, for these lanes (at.Lane by name) and customers; without them names of lanes
+    and customers are not looked at. Raises Unfit."""
+    file = read(path)
+    told = file.value
+    written = [
+        Written(rule["name"], *(rule.get(part) for part in PARTS[:-1]), labels=rule.get("labels", {}))
+        for rule in told["rules"]
+    ]
+    declared = Declared(**told["bounds"], lanes=tuple(lanes or ()))
+    try:
+        return RuleSet(
+            told["version"],
+            written,
+            lanes or {},
+            customers,
+            declared,
+            told["ceilings"]["rule"],
+            told["ceilings"]["set"],
+        )
+    except UnfitRules as error:
+        raise Unfit(
+            [
+                (
+                    file.place(f"rules[{number}].{part}", fault.line, fault.column)
+                    if part
+                    else file.place("version"),
+                    fault.code,
+                    f"rule {written[number].name}: {part}: {fault.message}" if written else fault.message,
+                )
+                for number, part, fault in error.faults
+            ]
+        ) from None
--- /dev/null
+++ b/lemonlead/matching/rules.py
@@ -0,0 +1,297 @@
+"""Rules: what matches a lookup, and what it then gets. Everything that a rule may never do is kept here.
+
+Checked when a set is loaded, and looked at again for each lookup (`RuleSet.give`):
+
+- no rule weakens an effect: one-shot stays one-shot, stamped becomes one-shot at most; to stamped only what
+  carries a stamp, and only where the group that drops repeats and its memory are no wider than those of the
+  lane asked for;
+- none names a lane or, where it is written out, a customer that does not exist;
+- none touches the hard stop, the command or the effect's mark: they are not among what a rule can give."""
+
+from dataclasses import dataclass, field
+
+from .. import interface as at
+from . import tree
+from .checker import constant
+from .declared import Declared
+from .expression import Expression, digest
+from .faults import COST, NAME, TYPE, VALUE, Erred, Fault
+from .index import Index
+from .kinds import BOOL, STRING
+
+RANKS = {at.HARMLESS: 0, at.STAMPED: 1, at.ONE_SHOT: 2}
+WIDTHS = {"cell": 0, "zone": 1, "all": 2}
+MOST_RULES, MOST_LABELS, LONGEST_NAME = 20_000, 8, 64
+RULE_COST, SET_COST = 2_000, 20_000  # steps; a set may name others
+
+
+@dataclass(slots=True)
+class Written:
+    """A rule as it is written: expressions in text; `places` has the place of each part, by its name."""
+
+    name: str
+    when: str
+    lane: str | None = None
+    key: str | None = None
+    customer: str | None = None
+    labels: dict = field(default_factory=dict)
+    places: dict = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Rule:
+    number: int
+    name: str
+    when: Expression
+    gives: dict  # an expression by each of "lane", "key" and "customer" that it gives
+    labels: dict
+    cost: int
+
+
+@dataclass(slots=True, eq=False)
+class Given:
+    """What a lookup gets; None where the rule leaves it as it came. `rule` is None where none matched."""
+
+    rule: Rule | None = None
+    lane: at.Lane | None = None
+    key: bytes | None = None
+    customer: str | None = None
+
+
+NOTHING = Given()
+
+
+class Unfit(Exception):
+    """A set that cannot be used: all its faults, each with the part that it is in (rule's number, part)."""
+
+    def __init__(self, faults):
+        super().__init__("; ".join(fault.message for _, _, fault in faults[:3]))
+        self.faults = faults
+
+
+def may_become(asked, given, stamped):
+    """Whether what was asked of one lane may be treated as another's without weakening its effect."""
+    if asked is given:
+        return True
+    if asked.streamed != given.streamed or RANKS[given.effect] < RANKS[asked.effect]:
+        return False
+    if given.effect != at.STAMPED:
+        return True
+    if asked.effect != at.STAMPED:
+        return stamped
+    return WIDTHS[given.group] <= WIDTHS[asked.group] and given.memory <= asked.memory
+
+
+# ---- what an expression may be for lookups of one lane, with or without a stamp
+
+
+def decided(node, lane, stamped):
+    """True or False where lane and stamp alone decide a condition, else None."""
+    match node:
+        case tree.Literal(value=bool() as value):
+            return value
+        case tree.Field(target=tree.Name(name="lookup"), name="stamped"):
+            return stamped
+        case tree.Unary(sign="!", operand=operand):
+            value = decided(operand, lane, stamped)
+            return None if value is None else not value
+        case tree.Logic(sign=sign, operands=operands):
+            decides = sign == "||"
+            values = [decided(operand, lane, stamped) for operand in operands]
+            return decides if decides in values else None if None in values else not decides
+        case tree.Choice(test=test, yes=yes, no=no):
+            value = decided(test, lane, stamped)
+            if value is not None:
+                return decided(yes if value else no, lane, stamped)
+            both = decided(yes, lane, stamped), decided(no, lane, stamped)
+            return both[0] if both[0] == both[1] else None
+        case tree.Binary(sign="==" | "!=" as sign, left=left, right=right) if left.kind == STRING:
+            one, other = possible(left, lane, stamped), possible(right, lane, stamped)
+            if one is None or other is None:
+                return None
+            if not one & other:
+                return sign == "!="
+            return (sign == "==") if len(one) == len(other) == 1 else None
+        case tree.Binary(sign="in", left=left, right=tree.ListOf(items=items)) if left.kind == STRING:
+            one, others = possible(left, lane, stamped), [possible(item, lane, stamped) for item in items]
+            if one is None or None in others:
+                return None
+            held = frozenset().union(*others)
+            if not one & held:
+                return False
+            return True if len(one) == 1 and any(other == one for other in others) else None
+    return None
+
+
+def possible(node, lane, stamped):
+    """All strings that it may be, None where they cannot be told."""
+    match node:
+        case tree.Literal(value=str() as value):
+            return frozenset([value])
+        case tree.Field(target=tree.Name(name="lookup"), name="lane"):
+            return frozenset([lane])
+        case tree.Choice(test=test, yes=yes, no=no):
+            value = decided(test, lane, stamped)
+            if value is not None:
+                return possible(yes if value else no, lane, stamped)
+            both = possible(yes, lane, stamped), possible(no, lane, stamped)
+            return None if None in both else both[0] | both[1]
+    return None
+
+
+class RuleSet:
+    """A whole set, checked. It does not change; many threads may ask it."""
+
+    def __init__(
+        self, version, written, lanes, customers, declared=None, rule_cost=RULE_COST, set_cost=SET_COST
+    ):
+        """`lanes`: at.Lane by name, without any their names are not looked at; `customers`: names, any
+        collection, or None likewise. Raises Unfit with all faults at once."""
+        names = tuple(lanes)
+        self.version, self.lanes = version, lanes
+        self.customers = frozenset(customers) if customers is not None else None
+        self.declared = declared or Declared(lanes=names)
+        self.numbers = {lane.number: name for name, lane in lanes.items()}
+        self.faults, self.rules, seen = [], [], {}
+        if len(written) > MOST_RULES:
+            self.fault(0, "", Fault(COST, f"{len(written)} rules, {MOST_RULES} allowed"))
+            written = []
+        for number, rule in enumerate(written):
+            if rule.name in seen:
+                self.fault(
+                    number,
+                    "name",
+                    Fault(NAME, f"rule {number} and rule {seen[rule.name]} are both {rule.name}"),
+                )
+            seen.setdefault(rule.name, number)
+            made = self.made(number, rule, rule_cost)
+            self.rules += [made] if made else []
+        if self.faults:
+            raise Unfit(self.faults)
+        self.index = Index(self.rules, self.declared)
+        self.cost = self.index.worst + max(
+            (sum(e.cost for e in rule.gives.values()) for rule in self.rules), default=0
+        )
+        if self.cost > set_cost:
+            dear = max(self.rules, key=lambda rule: rule.cost)
+            self.fault(
+                dear.number,
+                "when",
+                Fault(
+                    COST,
+                    (
+                        f"the set may cost {self.cost} steps for a lookup, {set_cost} allowed; "
+                        f"the dearest rule is {dear.name} with {dear.cost}"
+                    ),
+                ),
+            )
+            raise Unfit(self.faults)
+        said = [(r.name, r.when, r.lane, r.key, r.customer, sorted(r.labels.items())) for r in written]
+        self.digest = digest(repr((version, said)))
+
+    def fault(self, number, part, fault):
+        self.faults.append((number, part, fault))
+
+    def made(self, number, rule, ceiling):
+        before, parts = len(self.faults), {}
+        for part, wanted in (("when", BOOL), ("lane", STRING), ("key", STRING), ("customer", STRING)):
+            if (text := getattr(rule, part)) is not None:
+                try:
+                    parts[part] = Expression(text, self.declared, wanted)
+                except Fault as fault:
+                    self.fault(number, part, fault)
+        if len(rule.labels) > MOST_LABELS:
+            self.fault(number, "labels", Fault(COST, f"{len(rule.labels)} labels, {MOST_LABELS} allowed"))
+        if not 0 < len(rule.name) <= LONGEST_NAME:
+            self.fault(
+                number, "name", Fault(VALUE, f"a name of {len(rule.name)} characters, {LONGEST_NAME} allowed")
+            )
+        cost = sum(part.cost for part in parts.values())
+        if cost > ceiling:
+            said = ", ".join(f"{part} {expression.cost}" for part, expression in parts.items())
+            self.fault(
+                number, "when", Fault(COST, f"may cost {cost} steps for a lookup ({said}), {ceiling} allowed")
+            )
+        if len(self.faults) > before:
+            return None
+        when, gives = parts.pop("when"), parts
+        for part in ("lane", "customer"):
+            if part in gives and (self.lanes if part == "lane" else self.customers is not None):
+                getattr(self, f"look_at_{part}")(number, when, gives[part])
+        return Rule(number, rule.name, when, gives, rule.labels, cost)
+
+    def look_at_lane(self, number, when, expression):
+        """Every lane that it may give to every lookup that the rule may match; one fault, for the first."""
+        for name, lane in self.lanes.items():
+            for stamped in (True,) if lane.effect == at.STAMPED else (False, True):
+                if decided(when.tree, name, stamped) is False:
+                    continue
+                if wrong := self.wrong_lane(expression, name, stamped):
+                    return self.fault(number, "lane", Fault(*wrong, *expression.place()))
+
+    def wrong_lane(self, expression, name, stamped):
+        """A code and what is wrong with what it gives lookups of this lane; None if nothing is."""
+        given, lane = possible(expression.tree, name, stamped), self.lanes[name]
+        if given is None:
+            return TYPE, "which lanes it may be cannot be told: use names in quotes, lookup.lane and ?:"
+        for other in sorted(given):
+            if other not in self.lanes:
+                return NAME, f"no lane {other!r} (there is {', '.join(self.lanes)})"
+            if not may_become(lane, self.lanes[other], stamped):
+                stamp = "" if lane.effect != at.HARMLESS else ", stamped" if stamped else ", no stamp"
+                become = f"{name} ({lane.effect}{stamp}) may become {other} ({self.lanes[other].effect})"
+                return VALUE, f"would weaken an effect: a lookup of {become}"
+        return None
+
+    def look_at_customer(self, number, when, expression):
+        for node in tree.walk(expression.tree):
+            said = isinstance(node, tree.Literal) and constant(expression.tree)
+            if said and node.value not in self.customers:
+                known = ", ".join(sorted(self.customers)) or "none"
+                fault = Fault(NAME, f"no customer {node.value!r} (there is {known})", *expression.place())
+                return self.fault(number, "customer", fault)
+
+    # ---- for each lookup
+
+    def judge(self, asked, erred=None):
+        """What the first rule that matches gives; NOTHING if none does. A rule that errs does not match:
+        `erred(rule, fault)` is told. `asked` is a `declared.Asked`; the lane must be one of the set's."""
+        rules = self.rules
+        for number in self.index.candidates(asked):
+            rule = rules[number]
+            try:
+                if rule.when.value(asked):
+                    return self.give(rule, asked) if rule.gives else Given(rule)
+            except Erred as fault:
+                if erred is not None:
+                    erred(rule, fault)
+        return NOTHING
+
+    def judge_plainly(self, asked, erred=None):
+        """The same without the index: each rule in its order. What the index is held against."""
+        for rule in self.rules:
+            try:
+                if rule.when.value(asked):
+                    return self.give(rule, asked)
+            except Erred as fault:
+                if erred is not None:
+                    erred(rule, fault)
+        return NOTHING
+
+    def give(self, rule, asked):
+        """Erred where what it gives may not be: the defence behind the one when the set is loaded."""
+        given = Given(rule)
+        if (expression := rule.gives.get("lane")) is not None:
+            name = expression.value(asked)
+            lane, was = self.lanes.get(name), self.lanes.get(asked.lane)
+            if lane is None or was is None or not may_become(was, lane, asked.stamped):
+                raise Erred(f"may not give lane {name[:40]!r} to a lookup of {asked.lane[:40]!r}")
+            given.lane = lane
+        if (expression := rule.gives.get("key")) is not None:
+            key = expression.value(asked)
+            if len(data := key.encode()) > self.declared.key:
+                raise Erred(f"a key of {len(data)} bytes, {self.declared.key} allowed")
+            given.key = data
+        if (expression := rule.gives.get("customer")) is not None:
+            given.customer = expression.value(asked)
+        return given
--- /dev/null
+++ b/lemonlead/matching/standing.py
@@ -0,0 +1,132 @@
+"""The rules in force, and the set that is tried beside them.
+
+A set is put in force by one assignment, so a lookup is judged by one set alone, and what it was given stays
+with it. The set on trial may only use what its budget of time holds; where it would have given something else
+is counted by rule. Moments come in as arguments, in whole nanoseconds."""
+
+import threading
+from collections import Counter
+
+from .rules import NOTHING
+
+MOST_PAIRS = 512  # pairs of rules that differences are counted for; the rest is counted together
+BURST = 10_000_000  # nanoseconds of time that a budget holds at most
+LOG_EACH = 1_000_000_000  # nanoseconds between two log lines on rules that erred
+
+
+class Budget:
+    """Time that may be spent: `share` of all time, from when it was last looked at, up to BURST. It is a
+    promise for the mean: what is asked for is granted while anything is left, so one piece may overdraw
+    it."""
+
+    def __init__(self, share, now):
+        self.share, self.left, self.at = share, BURST, now
+
+    def may(self, now):
+        self.left = min(self.left + (now - self.at) * self.share, BURST)
+        self.at = max(self.at, now)
+        return self.left > 0
+
+    def spent(self, length):
+        self.left -= length
+
+
+class Standing:
+    """What is in force. `judge` is called by many threads; `put` by whoever loads."""
+
+    def __init__(self):
+        self.active = self.shadow = None  # sets (`rules.RuleSet`)
+        self.lock = threading.Lock()  # guards the counts and the budget
+        self.budget = None
+        self.tally = Counter()  # of the sets in force: ("matched" | "erred", rule's name), ("shadow", ...)
+        self.differences = Counter()  # by (rule of the active set, rule of the other); None: no rule
+        self.unlogged, self.logged_at = 0, None
+
+    def put(self, active, shadow, share, now):
+        """New sets, or None. The counts start anew with them: they are of these sets."""
+        with self.lock:
+            self.budget = Budget(share, now) if shadow is not None else None
+            self.tally, self.differences = Counter(), Counter()
+            self.active, self.shadow = active, shadow
+
+    def judge(self, seen, erred=None):
+        """What the active set gives. `seen(declared)` gives the lookup as a set declares it
+        (`declared.Asked`), so that no set reads more than its costs were reckoned with. `erred(rule, fault)`
+        is told of each that errs."""
+        active = self.active
+        if active is None:
+            return NOTHING
+        faults = []
+        given = active.judge(seen(active.declared), lambda rule, fault: faults.append((rule, fault)))
+        with self.lock:
+            self.tally["matched", given.rule.name if given.rule else None] += 1
+            for label, value in given.rule.labels.items() if given.rule else ():
+                self.tally["label", f"{label}={value}"] += 1
+            for rule, _ in faults:
+                self.tally["erred", rule.name] += 1
+        for rule, fault in faults:
+            if erred is not None:
+                erred(rule, fault)
+        return given
+
+    def wants_shadow(self, now):
+        """Whether the other set is to be asked for this lookup too; counted where its budget is spent."""
+        with self.lock:
+            if self.shadow is None:
+                return False
+            may = self.budget.may(now)
+            self.tally["shadow", "asked" if may else "skipped"] += 1
+            return may
+
+    def try_shadow(self, seen, given):
+        """What the other set would have given, held against what was."""
+        shadow = self.shadow
+        if shadow is None:
+            return
+        faults = []
+        other = shadow.judge(seen(shadow.declared), lambda rule, fault: faults.append(rule))
+        with self.lock:
+            self.tally["shadow", "erred"] += len(faults)
+            if differs(given, other):
+                pair = tuple(one.rule.name if one.rule else None for one in (given, other))
+                known = pair in self.differences or len(self.differences) < MOST_PAIRS
+                self.differences[pair if known else ("others", "others")] += 1
+                self.tally["shadow", "differs"] += 1
+
+    def spent(self, length):
+        """So much time went into `try_shadow`."""
+        with self.lock:
+            if self.budget is not None:
+                self.budget.spent(length)
+
+    def to_log(self, now):
+        """How many errors to tell of now, in one line; 0 while the last line is too recent."""
+        with self.lock:
+            self.unlogged += 1
+            if self.logged_at is not None and now - self.logged_at < LOG_EACH:
+                return 0
+            count, self.unlogged, self.logged_at = self.unlogged, 0, now
+            return count
+
+    def read(self):
+        """The counts, for a person: by kind, the largest first."""
+        with self.lock:
+            tally, differences = dict(self.tally), self.differences.most_common(20)
+        kinds = {}
+        for (kind, name), count in sorted(tally.items(), key=lambda item: -item[1]):
+            kinds.setdefault(kind, {})[name or "none"] = count
+        return kinds, [(one or "none", other or "none", count) for (one, other), count in differences]
+
+
+def differs(one, other):
+    """Whether two sets give a lookup something else. Rules' names do not count, what is given does."""
+    return what(one) != what(other)
+
+
+def what(given):
+    return (
+        given.lane and given.lane.number,
+        given.key,
+        given.customer,
+        given.rule.labels if given.rule else {},
+    )
--- /dev/null
+++ b/lemonlead/settings/__init__.py
@@ -0,0 +1,10 @@
+"""Settings of ours as typed records, in a stated subset of CUE: one form for types, defaults and values.
+
+`read(path, schema)` gives a file, with all that it includes, unified with a schema: plain values and the
+place of each. All faults of a file are raised at once as `Unfit`, and nothing of an unfit file is used. What
+the platform tells stays JSON and does not come through here. No decision is made here."""
+
+from .faults import Fault, Unfit
+from .load import Read, read, schema_text
+
+__all__ = ["Fault", "Read", "Unfit", "read", "schema_text"]
--- /dev/null
+++ b/lemonlead/settings/faults.py
@@ -0,0 +1,56 @@
+"""What is wrong with a settings file, where, and what would do."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """A place in a file: line and column count from 1."""
+
+    file: str
+    line: int
+    column: int
+
+    def __str__(self):
+        return f"{self.file}:{self.line}:{self.column}"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """`path`: the field, as in `rules[3].when`. `other`: the place that this one conflicts with."""
+
+    place: Place
+    path: str
+    found: str
+    allowed: str
+    other: Place | None = None
+    code: str = "value"  # "syntax", "name", "type" or "value"
+
+    def __str__(self):
+        return f"{self.place}: {self.message}"
+
+    @property
+    def message(self):
+        also = f" (by {self.other})" if self.other else ""
+        return f"{self.path or 'the file'}: found {self.found}, allowed {self.allowed}{also}"
+
+    def read(self):
+        return {
+            "code": self.code,
+            "file": self.place.file,
+            "line": self.place.line,
+            "column": self.place.column,
+            "path": self.path,
+            "found": self.found,
+            "allowed": self.allowed,
+            "other": str(self.other) if self.other else None,
+        }
+
+
+class Unfit(Exception):
+    """A file that cannot be used, with all its faults in the order of their places."""
+
+    def __init__(self, faults):
+        self.faults = sorted(faults, key=lambda f: (f.place.file, f.place.line, f.place.column, f.path))
+        more = f" and {len(faults) - 1} more" if len(faults) > 1 else ""
+        super().__init__(f"{self.faults[0]}{more}")
--- /dev/null
+++ b/lemonlead/standins/instances.py
@@ -0,0 +1,102 @@
+"""Instances: one that answers as a function says, and one that works as a machine does."""
+
+import random
+import threading
+import time
+from collections import Counter
+
+from ..gateway import resp
+from .server import Server
+
+
+class InstanceServer(Server):
+    """Answers each command as `react(words)` says: bytes to write, or None to end the connection."""
+
+    def __init__(self, react=None, **more):
+        super().__init__(**more)
+        self.react = react or (lambda words: gives(words[1]))
+        self.got = []
+
+    def serve(self, sock):
+        reader = resp.Reader(commands=True)
+        while data := sock.recv(65536):
+            reader.buffer.add(data)
+            while (words := reader.next()) is not resp.MORE:
+                self.got.append(words)
+                if (answer := self.react(words)) is None:
+                    return
+                sock.sendall(answer)
+
+
+def gives(value):
+    return b"*3\r\n" + resp.bulk(value) + b"$-1\r\n$-1\r\n"
+
+
+class Machine(InstanceServer):
+    """An instance with worker slots and a queue. It needs `work` seconds for a lookup, by lane (None: for all
+    others), for one slot; `queue` more may wait, what is past that is turned away unseen. From `start` on its
+    speed rises from `cold` (a share) to the whole in `warm` seconds.
+
+    Faults on demand: `silent` (reads, never answers), `failing` (the share of lookups that fail, by lane),
+    `spoilt` (the share of answers that cannot be read), `slow` (work is multiplied by it). `memory`: seconds
+    for which it drops repeats of a stamp. Counts: `done` by lane, `ran` by stamp or id, `turned_away`,
+    `dropped`."""
+
+    def __init__(self, work=0.0, slots=4, queue=16, cold=1.0, warm=0.0, memory=8.0, seed=1, **more):
+        super().__init__(**more)
+        self.work = work if isinstance(work, dict) else {None: work}
+        self.slots, self.queue = threading.Semaphore(slots), queue
+        self.cold, self.warm, self.memory, self.began = cold, warm, memory, time.monotonic()
+        self.silent, self.failing, self.spoilt, self.slow = threading.Event(), {}, 0.0, 1.0
+        self.chance, self.lock, self.held, self.most = random.Random(seed), threading.Lock(), 0, slots + queue
+        self.done, self.ran, self.turned_away, self.dropped = Counter(), Counter(), 0, 0
+        self.stamps = {}  # when each stamp was last answered, and with what
+        self.react = self.answer
+
+    def answer(self, words):
+        if words[0].upper() == b"PING":
+            return b"+PONG\r\n"
+        said = dict(pair.split("=", 1) for pair in words[3].decode().split(","))
+        if self.silent.is_set():
+            time.sleep(float(said.get("d", 1000)) / 1e3)
+            return None
+        with self.lock:
+            if self.held >= self.most:
+                self.turned_away += 1
+                return b"-BUSY\r\n"
+            self.held += 1
+        try:
+            return self.served(words, said)
+        finally:
+            with self.lock:
+                self.held -= 1
+
+    def served(self, words, said):
+        lane, stamp = said["c"], said.get("k")
+        with self.slots:
+            with self.lock:
+                at, value = self.stamps.get(stamp, (0.0, None))
+                if stamp and value is not None and time.monotonic() - at < self.memory:
+                    self.dropped += 1
+                    return gives(value)
+            time.sleep(self.needs(lane))
+            value = words[1]
+            with self.lock:
+                self.done[lane] += 1
+                self.ran[stamp or words[2]] += 1
+                if self.chance.random() < self.failing.get(lane, 0.0):
+                    return b"-ERR failed\r\n"
+                if stamp:
+                    self.stamps = {
+                        k: v for k, v in self.stamps.items() if time.monotonic() - v[0] < self.memory
+                    }
+                    self.stamps[stamp] = time.monotonic(), value
+                if self.chance.random() < self.spoilt:
+                    return b"#noise\r\n"
+        return gives(value)
+
+    def needs(self, lane):
+        """Seconds of one slot, now."""
+        age = time.monotonic() - self.began
+        speed = 1.0 if age >= self.warm else self.cold + (1 - self.cold) * age / self.warm
+        return self.work.get(lane, self.work.get(None, 0.0)) * self.slow / max(speed, 0.01)
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -7,7 +7,7 @@
 from types import SimpleNamespace
 
 import pytest
-from helpers import MS, SETTINGS, lookup, until
+from helpers import MS, lookup
 
 from lemonlead import interface as at
 from lemonlead.gateway.buffer import Malformed
@@ -18,6 +18,8 @@
 from lemonlead.gateway.discovery import Discovery
 from lemonlead.gateway.instances import Connection, Instances, Pool, Trip, passed_on
 from lemonlead.gateway.place import now
+from lemonlead.standins.fleet import SETTINGS
+from lemonlead.standins.server import until
 from lemonlead.told import started
 
 WORDS = [b"Q.DO", b"key", b"id", b"c=buy,d=900,t=acme", b"BODY"]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,11 +13,12 @@
 import time
 
 import pytest
-from helpers import (
-    SETTINGS, DiscoveryServer, InstanceServer, PlatformServer, counted, entry, gateway, gives, until,
-)
-
 from lemonlead.gateway import resp
+from lemonlead.standins.discovery import DiscoveryServer, entry
+from lemonlead.standins.fleet import SETTINGS, counted, gateway
+from lemonlead.standins.instances import InstanceServer, gives
+from lemonlead.standins.platform import PlatformServer
+from lemonlead.standins.server import until
 
 LIMITS = SETTINGS["Limits"]
 
