--- /dev/null
+++ b/deploy/rules/rules.cue
@@ -0,0 +1,18 @@
+// An example for the lanes of the parts catalogue: fitment and stock-check (harmless), reserve (stamped).
+version: "2026-12-01"
+ceilings: {rule: 1000, set: 5000}
+
+// What a batch asks is sorted below what a counter asks.
+#Batch: {name: string, when: string, labels: {source: "batch"}}
+
+rules: [
+	#Batch & {
+		name: "nightly-stock"
+		when: """
+			lookup.lane == 'fitment' &&
+			lookup.key.startsWith('batch/')
+			"""
+		lane: "'stock-check'"
+	},
+	{name: "canary-keys", when: "hash(lookup.key) % 1000 < 5", labels: {canary: "yes"}},
+]
--- a/lemonlead/matching/checker.py
+++ b/lemonlead/matching/checker.py
@@ -35,7 +35,7 @@
     "/": (INT, DOUBLE),
     "%": (INT,),
 }
-ERRING = 40  # steps that an error costs before all is evaluated anew, exactly
+ERRING = 60  # steps that it takes to raise an error, or to absorb one
 
 
 def check(node, declared):
@@ -47,7 +47,7 @@
 def whole_cost(node):
     """Steps for one evaluation at worst. What may err is then evaluated a second time, about twice as
     slowly."""
-    return min(3 * node.cost + ERRING if node.errs else node.cost, MOST_COST)
+    return min(3 * node.cost + ERRING * (node.raises + 1) if node.errs else node.cost, MOST_COST)
 
 
 class Checker:
@@ -60,6 +60,7 @@
         node.cost = min(
             cost + sum(self.times(node, child) * child.cost for child in node.children()), MOST_COST
         )
+        node.raises = self.raises(node, errs)
         node.own, node.errs = errs, errs or any(child.errs for child in node.children())
         if node.bounds.whole() > self.declared.longest and node.kind != LOOKUP:
             self.fault(
@@ -75,6 +76,12 @@
             return int(child is (node.yes if node.yes.cost >= node.no.cost else node.no))
         return 1
 
+    def raises(self, node, own):
+        """An error ends all up to the next && or || (or all or exists), which then go on."""
+        counts = [self.times(node, child) * child.raises for child in node.children()]
+        absorbs = isinstance(node, tree.Logic) or isinstance(node, tree.Each) and node.macro in ("all", "exists")
+        return min(sum(counts) if absorbs else max([*counts, own]), MOST_COST)
+
     def fault(self, node, code, message):
         raise Fault(code, message, node.line, node.column)
 
@@ -266,6 +273,8 @@
         over = self.of(node.over, names)
         if over.name not in ("list", "map"):
             self.fault(node, TYPE, f"{node.macro} goes over a list or a map, not {over}")
+        if over.of == NOTHING:
+            self.fault(node, TYPE, f"{node.macro} over a list that is always empty")
         if node.name == "lookup" or node.name in names:
             self.fault(node, NAME, f"{node.name} already stands for something else")
         kind, bounds = (
--- a/lemonlead/matching/expression.py
+++ b/lemonlead/matching/expression.py
@@ -21,7 +21,7 @@
             raise Fault(TYPE, f"the expression is {self.kind}, {wanted} was expected", *self.place())
         if self.kind.name == "lookup":
             raise Fault(TYPE, "a lookup is no value: name one of its fields", *self.place())
-        self.quick, self.exact = quick.compiled(self.tree), exact.compiled(self.tree)
+        self.quick, self.exact = quick.compiled(self.tree), None  # the exact form is made at the first error
 
     def place(self):
         first = min((node.line, node.column) for node in tree.walk(self.tree))
@@ -32,6 +32,8 @@
         try:
             return self.quick(asked)
         except exact.ERRORS:
+            if self.exact is None:
+                self.exact = exact.compiled(self.tree)
             return self.exact(asked)
 
 
--- a/lemonlead/matching/lexer.py
+++ b/lemonlead/matching/lexer.py
@@ -107,7 +107,7 @@
 
 def octets(code, at):
     """What an escape stands for in bytes: \\x and octal are one octet, the others a character in UTF-8."""
-    if code[:1] in (b"x", b"0", b"1", b"2", b"3"):
+    if len(code) > 1 and code[:1] in (b"x", b"0", b"1", b"2", b"3"):
         return bytes([int(code, 8) if code[:1] != b"x" else int(code[1:], 16)])
     return escaped(code.decode("utf-8", "replace"), at).encode()
 
--- a/lemonlead/matching/tree.py
+++ b/lemonlead/matching/tree.py
@@ -5,14 +5,14 @@
 
 class Node:
     """`cost` is the whole worst case of this node and all below it, `errs` whether it may give no value,
-    `own` whether that may be by its own doing."""
+    `own` whether that may be by its own doing, `raises` how many errors one evaluation may raise and absorb."""
 
-    __slots__ = ("line", "column", "depth", "kind", "bounds", "cost", "errs", "own")
+    __slots__ = ("line", "column", "depth", "kind", "bounds", "cost", "errs", "own", "raises")
     parts = ()  # names of the slots that hold a node or a list of them
 
     def __init__(self, at, *values):
         self.line, self.column = at
-        self.kind, self.bounds, self.cost, self.errs, self.own = None, ANY, 0, False, False
+        self.kind, self.bounds, self.cost, self.errs, self.own, self.raises = None, ANY, 0, False, False, 0
         for name, value in zip(self.__slots__, values, strict=True):
             setattr(self, name, value)
         self.depth = 1 + max((child.depth for child in self.children()), default=0)
--- a/lemonlead/settings/parser.py
+++ b/lemonlead/settings/parser.py
@@ -10,15 +10,11 @@
 from . import tree
 from .faults import Fault, Place, Unfit
 
-LONGEST, DEEPEST = 8 << 20, 64  # code points of a file; brackets within brackets
+LONGEST, DEEPEST = 2 << 20, 64  # code points of a file; values within values
 UNITS = {"ns": 1, "us": 10**3, "ms": 10**6, "s": 10**9, "m": 60 * 10**9, "h": 3600 * 10**9}
 FACTORS = {"K": 10**3, "M": 10**6, "G": 10**9, "Ki": 2**10, "Mi": 2**20, "Gi": 2**30}
 WORDS = {"true": (True, "bool"), "false": (False, "bool"), "null": (None, "null")}
 ESCAPE = re.compile(r"\\(u[0-9a-fA-F]{4}|U[0-9a-fA-F]{8}|.)", re.DOTALL)
-# Brackets, past all strings and comments that might hold some.
-BRACKETS = re.compile(
-    r'"""(?:[^\\]|\\.)*?"""|#"[^\n]*?"#|"(?:[^"\\\n]|\\.)*"|//[^\n]*|[\[{(]|[\])}]', re.DOTALL
-)
 PLAIN = {
     "n": "\n",
     "t": "\t",
@@ -35,35 +31,20 @@
 
 @cache
 def grammar():
-    return Lark(Path(__file__).with_name("grammar.lark").read_text(), parser="lalr", lexer="contextual")
+    return Lark(Path(__file__).with_name("grammar.lark").read_text(), parser="lalr", lexer="contextual", propagate_positions=True)
 
 
 def parse(text, file):
     """The tree of a file; Unfit with the place of what cannot be read."""
     if len(text) > LONGEST:
         raise Unfit([Fault(Place(file, 1, 1), "", f"{len(text)} characters", f"{LONGEST} at most")])
-    depth = 0
-    for match in BRACKETS.finditer(text):
-        depth += (match[0] in "[{(") - (match[0] in "])}")
-        if depth > DEEPEST:
-            line = text.count("\n", 0, match.start()) + 1
-            column = match.start() - text.rfind("\n", 0, match.start())
-            raise Unfit(
-                [
-                    Fault(
-                        Place(file, line, column),
-                        "",
-                        "brackets in brackets",
-                        f"{DEEPEST} deep at most",
-                        code="syntax",
-                    )
-                ]
-            )
     try:
         made = grammar().parse(text)
     except UnexpectedInput as error:
         raise Unfit([unexpected(error, text, file)]) from None
-    return Maker(file).struct(made, Place(file, 1, 1))
+    maker = Maker(file)
+    maker.look_at_depth(made)
+    return maker.struct(made, Place(file, 1, 1))
 
 
 def unexpected(error, text, file):
@@ -97,12 +78,23 @@
         return Place(self.file, token.line, token.column)
 
     def first(self, node):
-        """The place of a node's first token."""
-        while not isinstance(node, Token):
-            if not node.children:
-                return None
-            node = node.children[0]
-        return self.at(node)
+        """The place where a node begins; None if nothing stands there."""
+        if isinstance(node, Token):
+            return self.at(node)
+        return None if node.meta.empty else Place(self.file, node.meta.line, node.meta.column)
+
+    def look_at_depth(self, root):
+        """What follows goes down the tree by calls: it is not to be deeper than they may go."""
+        open_nodes = [(root, 0)]
+        while open_nodes:
+            node, depth = open_nodes.pop()
+            if isinstance(node, Token):
+                continue
+            depth += node.data in ("struct", "list", "nested", "either")
+            if depth > DEEPEST:
+                place = self.first(node) or Place(self.file, 1, 1)
+                raise Unfit([Fault(place, "", "fields in fields", f"{DEEPEST} deep at most", code="syntax")])
+            open_nodes.extend((child, depth) for child in node.children)
 
     def struct(self, node, place):
         made = tree.Struct(place)
--- a/lemonlead/settings/unify.py
+++ b/lemonlead/settings/unify.py
@@ -19,7 +19,7 @@
     "duration": ("duration",),
     "_": ("int", "float", "string", "bool", "null", "duration", "struct", "list"),
 }
-MOST_STEPS, MOST_FAULTS, MOST_ITEMS, DEEPEST = 6_000_000, 200, 200_000, 40
+MOST_STEPS, MOST_FAULTS, MOST_ITEMS, DEEPEST = 2_000_000, 200, 200_000, 40
 MISSING = object()
 
 
@@ -79,7 +79,7 @@
 
     def fault(self, place, path, found, allowed, other=None, code="value"):
         if len(self.faults) < MOST_FAULTS:
-            self.faults.append(Fault(place, path, found, allowed, other, code))
+            self.faults.append(Fault(place, path[:200], found[:120], allowed[:200], other, code))
         return MISSING
 
     # ---- one field
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -519,3 +519,57 @@
     send = sent(asked, made.members[member])
     changed(made, asked)
     assert made.may_begin(NOW, send) is allowed
+
+
+# ---- rules may give a lookup another lane and key
+
+
+def ruled(id, asked, given, **more):
+    made = lookup(id, given, **more)
+    made.asked = asked
+    return made
+
+
+def test_a_cap_by_lane_holds_for_the_lane_asked_and_for_the_lane_given():
+    one, other = lane(0), lane(1)
+    release = at.Release(window=2000 * MS, free_sends=2, caps=[0.5], steps=[0.5], per_lane=True)
+    made = balancer([line(1), line(2, build=2)], [one, other], (2, 0, at.ON_TRIAL, 0.5), release)
+    build = made.builds[2]
+    for number in range(8):  # so many were taken, asked for as `one` and treated as `other`
+        made.lookup_arrived(NOW, ruled(number, one, other))
+    asked_one, given_other = ruled(20, one, other), ruled(21, other, one)
+    assert made.exposure_left(build, asked_one, NOW)
+    for sends in range(6):  # 2 free and half of 8
+        assert made.exposure_left(build, asked_one, NOW), sends
+        sent_now(made, build, asked_one)
+    assert not made.exposure_left(build, asked_one, NOW)
+    # What was treated as the other lane lends the lane asked nothing, and the other way round.
+    assert not made.exposure_left(build, ruled(22, one, one), NOW) and not made.exposure_left(build, ruled(23, other, other), NOW)
+    for sends in range(2):
+        assert made.exposure_left(build, given_other, NOW), sends
+        sent_now(made, build, given_other)
+    assert not made.exposure_left(build, given_other, NOW)
+
+
+def sent_now(made, build, asked):
+    for counted in made.counts_of(asked):
+        build.sent.setdefault(counted, deque()).append(NOW)
+
+
+@pytest.mark.parametrize("key", [b"asked", b"given"])
+def test_where_keys_bind_the_key_asked_binds_as_well_as_the_key_given(key):
+    release = at.Release(window=2000 * MS, free_sends=9, caps=[1.0], steps=[1.0], forward_only=True)
+    made = balancer([line(1), line(2, build=2)], None, (2, 0, at.ON_TRIAL, 1.0), release)
+    first = lookup(1, key=b"given")
+    first.asked_key = b"asked"
+    made.lookup_arrived(NOW, first)
+    made.send_ended(NOW, sent(first, made.members[2]), at.SUCCEEDED, 5 * MS, True, {})
+    again = lookup(2, key=key)
+    assert not made.may_send(again, made.members[1], NOW) and made.may_send(lookup(3, key=b"x"), made.members[1], NOW)
+
+
+def test_without_rules_lookups_are_counted_as_they_were():
+    release = at.Release(window=2000 * MS, free_sends=2, caps=[0.5], steps=[0.5], per_lane=True)
+    made = balancer([line(1)], [lane(0), lane(1)], release=release)
+    made.lookup_arrived(NOW, lookup(1, lane(1)))
+    assert list(made.taken) == [1]
