A set's files are bounded by the gateway's memory; less work a lookup for rules

Cause: reading a set takes 260 bytes of memory a byte, so that a file of 2 MB could have killed a gateway of 192 MB. Now the files of a set may hold a 2,048th of the memory told.

--- a/lemonlead/commands/rules.py
+++ b/lemonlead/commands/rules.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+import threading
 import time
 import timeit
 
@@ -37,6 +38,9 @@
 def loaded(file, settings, as_json):
     """The set, or the end of the command with all that is wrong with it."""
     lanes, customers = given.platform(settings)
+    waiting = threading.Timer(2.0, lambda: click.echo(f"reading {file} ...", err=True))
+    waiting.daemon = True
+    waiting.start()
     try:
         return load.load(file, lanes, customers)
     except load.Unfit as error:
@@ -57,6 +61,8 @@
             load.lines(error.faults),
         )
         sys.exit(1)
+    finally:
+        waiting.cancel()
 
 
 @command.command(name="eval", context_settings={"ignore_unknown_options": True})
--- a/lemonlead/gateway/sorting.py
+++ b/lemonlead/gateway/sorting.py
@@ -12,7 +12,10 @@
 from ..matching import load
 from ..matching.declared import Asked
 from ..matching.standing import Standing
+from .clients import WORDS
 
+COMMANDS = {name: name.decode() for name in WORDS}
+SHARE = 2048  # bytes of memory told for each byte of a set's files, so that reading takes an eighth of it
 MOST_SHOWN = 20  # names of rules in one log line
 
 
@@ -20,7 +23,7 @@
     def __init__(self, place, path, desk, log, counters):
         self.place, self.path, self.desk, self.log, self.counters = place, Path(path), desk, log, counters
         self.names = {lane.number: name for name, lane in place.lanes.items()}
-        self.standing = Standing()
+        self.room, self.standing = place.memory // SHARE, Standing()
 
     # ---- reading
 
@@ -63,7 +66,7 @@
         return active, shadow, told["shadow_share"]
 
     def rules(self, name):
-        return load.load(self.path.parent / name, self.place.lanes, self.place.customers)
+        return load.load(self.path.parent / name, self.place.lanes, self.place.customers, self.room)
 
     # ---- for each lookup
 
@@ -89,7 +92,7 @@
         """The lookup as it was asked, for whichever set's bounds; what rules then give it does not show."""
         stamped = lookup.lane.effect == at.STAMPED or bool(said.get("k"))
         told = (
-            words[0].upper().decode(),
+            COMMANDS[words[0].upper()],
             lookup.key,
             self.names[lookup.lane.number],
             said.get("t", ""),
--- a/lemonlead/matching/declared.py
+++ b/lemonlead/matching/declared.py
@@ -42,6 +42,7 @@
         }
 
 
+NONE = {}  # the attributes of a lookup that brings none; never changed
 UNSURE = frozenset(("key", "customer", "attributes"))  # may be past their bounds, or not UTF-8
 
 
@@ -79,20 +80,20 @@
         """`key` in bytes as it came, or a string; `wait` and `work` in nanoseconds."""
         self.command, self.lane, self.wait, self.work = command, lane, wait, work
         self.repeat, self.stamped, self.body_size = repeat, stamped, body_size
-        if isinstance(key, bytes):
-            try:
-                self.key = key.decode() if len(key) <= declared.key else None
-            except UnicodeDecodeError:
-                self.key = None
-            if self.key is None:
-                del self.key
-        elif len(key) <= declared.key:
-            self.key = key
+        if len(key) <= declared.key:
+            self.read_key(key)
         if len(customer) <= declared.customer:
             self.customer = customer
-        attributes = attributes or {}
-        if len(attributes) <= declared.attributes and all(
+        if not attributes:
+            self.attributes = NONE
+        elif len(attributes) <= declared.attributes and all(
             len(name) <= declared.attribute_name and len(value) <= declared.attribute
             for name, value in attributes.items()
         ):
             self.attributes = attributes
+
+    def read_key(self, key):
+        try:
+            self.key = key.decode() if isinstance(key, bytes) else key
+        except UnicodeDecodeError:
+            return  # it stays unset
--- a/lemonlead/matching/load.py
+++ b/lemonlead/matching/load.py
@@ -23,18 +23,18 @@
     return [f"{place}: {code} {message}" for place, code, message in faults]
 
 
-def read(path):
+def read(path, room):
     """The file's values and their places; Unfit."""
     try:
-        return settings.read(path, settings.schema_text("rules"))
+        return settings.read(path, settings.schema_text("rules"), room=room)
     except settings.Unfit as error:
         raise Unfit([(fault.place, fault.code, fault.message) for fault in error.faults]) from None
 
 
-def load(path, lanes=None, customers=None):
+def load(path, lanes=None, customers=None, room=settings.LONGEST):
     """The set that a file gives, for these lanes (at.Lane by name) and customers; without them names of lanes
-    and customers are not looked at. Raises Unfit."""
-    file = read(path)
+    and customers are not looked at. `room`: the most bytes of its files. Raises Unfit."""
+    file = read(path, room)
     told = file.value
     written = [
         Written(rule["name"], *(rule.get(part) for part in PARTS[:-1]), labels=rule.get("labels", {}))
--- a/lemonlead/matching/rules.py
+++ b/lemonlead/matching/rules.py
@@ -277,9 +277,10 @@
 
     # ---- for each lookup
 
-    def judge(self, asked, erred=None):
-        """What the first rule that matches gives; NOTHING if none does. A rule that errs does not match:
-        `erred(rule, fault)` is told. `asked` is a `declared.Asked`; the lane must be one of the set's."""
+    def judge(self, asked, faults=None):
+        """What the first rule that matches gives; NOTHING if none does. A rule that errs does not match: it
+        and its fault are added to `faults`. `asked` is a `declared.Asked`; the lane must be one of the
+        set's."""
         rules = self.rules
         for number in self.index.candidates(asked):
             rule = rules[number]
@@ -287,19 +288,19 @@
                 if rule.when.value(asked):
                     return self.give(rule, asked) if rule.gives else Given(rule)
             except Erred as fault:
-                if erred is not None:
-                    erred(rule, fault)
+                if faults is not None:
+                    faults.append((rule, fault))
         return NOTHING
 
-    def judge_plainly(self, asked, erred=None):
+    def judge_plainly(self, asked, faults=None):
         """The same without the index: each rule in its order. What the index is held against."""
         for rule in self.rules:
             try:
                 if rule.when.value(asked):
                     return self.give(rule, asked)
             except Erred as fault:
-                if erred is not None:
-                    erred(rule, fault)
+                if faults is not None:
+                    faults.append((rule, fault))
         return NOTHING
 
     def give(self, rule, asked):
--- a/lemonlead/settings/__init__.py
+++ b/lemonlead/settings/__init__.py
@@ -6,5 +6,6 @@
 
 from .faults import Fault, Unfit
 from .load import Read, read, schema_text
+from .parser import LONGEST
 
-__all__ = ["Fault", "Read", "Unfit", "read", "schema_text"]
+__all__ = ["LONGEST", "Fault", "Read", "Unfit", "read", "schema_text"]
--- a/lemonlead/settings/load.py
+++ b/lemonlead/settings/load.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from .faults import Fault, Place, Unfit
-from .parser import inside, parse
+from .parser import LONGEST, inside, parse
 from .unify import unify
 
 MOST_FILES = 64  # that one file may include, themselves with their own
@@ -42,31 +42,44 @@
     return parse(schema, name)
 
 
-def read(path, schema, name="schema"):
+def read(path, schema, name="schema", room=LONGEST):
     """A file with all it includes, unified with a schema (text); Unfit, with all faults, where it cannot be
-    used."""
-    structs, files, digest = [schema_tree(schema, name)], [], hashlib.sha256()
-    gather(Path(path), Place(str(path), 1, 1), structs, files, digest)
-    value, literals = unify(structs, str(path))
-    return Read(str(path), value, literals, digest.hexdigest()[:12], files)
-
-
-def gather(path, place, structs, files, digest):
-    """The file's struct, then those that it includes, each once. An include is found beside the file that
-    names it."""
-    if path.resolve() in files:
-        return
-    if len(files) >= MOST_FILES:
-        raise Unfit([Fault(place, "", "a file more", f"{MOST_FILES} files")])
-    files.append(path.resolve())
-    try:
-        data = path.read_bytes()
-        text = data.decode()
-    except (OSError, UnicodeDecodeError) as error:
-        reason = error.strerror if isinstance(error, OSError) else "not UTF-8"
-        raise Unfit([Fault(place, "", f"{path}: {reason}", "a file of text")]) from None
-    digest.update(data)
-    struct = parse(text, str(path))
-    structs.append(struct)
-    for at, name in struct.includes:
-        gather(path.parent / name, at, structs, files, digest)
+    used. `room`: the most bytes of all files together. Reading takes some 260 bytes of memory for each."""
+    gathered = Gathered(schema_tree(schema, name), min(room, LONGEST))
+    gathered.add(Path(path), Place(str(path), 1, 1))
+    value, literals = unify(gathered.structs, str(path))
+    return Read(str(path), value, literals, gathered.digest.hexdigest()[:12], gathered.files)
+
+
+class Gathered:
+    """Files that were read, one after the other, into their structs."""
+
+    def __init__(self, schema, room):
+        self.structs, self.files, self.digest = [schema], [], hashlib.sha256()
+        self.room = self.left = room
+
+    def add(self, path, place):
+        """The file's struct, then those that it includes, each once. An include is found beside the file that
+        names it; `place` is where it is named."""
+        if path.resolve() in self.files:
+            return
+        if len(self.files) >= MOST_FILES:
+            raise Unfit([Fault(place, "", "a file more", f"{MOST_FILES} files")])
+        self.files.append(path.resolve())
+        struct = parse(self.text(path, place), str(path))
+        self.structs.append(struct)
+        for at, name in struct.includes:
+            self.add(path.parent / name, at)
+
+    def text(self, path, place):
+        try:
+            with open(path, "rb") as file:
+                data = file.read(self.left + 1)
+            if len(data) > self.left:
+                raise Unfit([Fault(place, "", "more to read", f"{self.room} bytes of all files together")])
+            self.left -= len(data)
+            self.digest.update(data)
+            return data.decode()
+        except (OSError, ValueError) as error:
+            reason = error.strerror if isinstance(error, OSError) else "not UTF-8"
+            raise Unfit([Fault(place, "", f"{path}: {reason}", "a file of text")]) from None
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -242,3 +242,12 @@
     told = read(tmp_path, 'version: "1"\nrules: []', settings.schema_text("rules")).value
     assert told["ceilings"] == {"rule": 2000, "set": 20000} and told["bounds"]["key"] == 256
     assert read(tmp_path, "", settings.schema_text("gateway")).value == {}
+
+
+def test_files_that_take_more_room_than_there_is_are_not_read(tmp_path):
+    (tmp_path / "more.cue").write_text("// " + "x" * 500)
+    (tmp_path / "file.cue").write_text('include "more.cue"\na: 1')
+    assert settings.read(tmp_path / "file.cue", "a: int", room=600).value == {"a": 1}
+    with pytest.raises(Unfit, match="more to read, allowed 400 bytes") as raised:
+        settings.read(tmp_path / "file.cue", "a: int", room=400)
+    assert (raised.value.faults[0].place.line, raised.value.faults[0].place.column) == (1, 9)
