--- a/lemonlead/commands/rules.py
+++ b/lemonlead/commands/rules.py
@@ -21,6 +21,7 @@
 SETTINGS = click.option(
     "--settings", metavar="FILE", help="A gateway's configuration: its lanes and customers."
 )
+FILE = click.Path(exists=True, dir_okay=False)
 JSON = click.option("--json", "as_json", is_flag=True, help="For machines.")
 MOST_SHOWN = 50
 
@@ -35,8 +36,8 @@
     click.echo(json.dumps(told) if as_json else "\n".join(lines))
 
 
-def loaded(file, settings, as_json):
-    """The set, or the end of the command with all that is wrong with it."""
+def loaded(file, settings, as_json, code=2):
+    """The set, or the end of the command, by this exit code, with all that is wrong with it."""
     lanes, customers = given.platform(settings)
     waiting = threading.Timer(2.0, lambda: click.echo(f"reading {file} ...", err=True))
     waiting.daemon = True
@@ -60,7 +61,7 @@
             as_json,
             load.lines(error.faults),
         )
-        sys.exit(1)
+        sys.exit(code)
     finally:
         waiting.cancel()
 
@@ -88,7 +89,7 @@
 
 
 @command.command()
-@click.argument("file")
+@click.argument("file", type=FILE)
 @SETTINGS
 @JSON
 def check(file, settings, as_json):
@@ -97,7 +98,7 @@
 
     Example: lemonlead rules check deploy/rules/rules.cue --settings config.json
     """
-    rules = loaded(file, settings, as_json)
+    rules = loaded(file, settings, as_json, code=1)
     told = {
         "faults": [],
         "version": rules.version,
@@ -118,7 +119,7 @@
 
 
 @command.command()
-@click.argument("file")
+@click.argument("file", type=FILE)
 @SETTINGS
 @LOOKUP
 @JSON
@@ -172,7 +173,7 @@
 
 
 @command.command()
-@click.argument("file")
+@click.argument("file", type=FILE)
 @SETTINGS
 @JSON
 def cost(file, settings, as_json):
@@ -198,8 +199,8 @@
 
 
 @command.command()
-@click.argument("old")
-@click.argument("new")
+@click.argument("old", type=FILE)
+@click.argument("new", type=FILE)
 @click.option("--lookups", metavar="FILE", help="One lookup in JSON a line, to see what each set gives it.")
 @SETTINGS
 @JSON
@@ -261,7 +262,7 @@
 
 
 @command.command()
-@click.argument("file")
+@click.argument("file", type=FILE)
 @SETTINGS
 @LOOKUP
 @click.option("--seconds", default=1.0, type=click.FloatRange(0.05, 60), help="For each of both ways.")
--- a/lemonlead/commands/settings.py
+++ b/lemonlead/commands/settings.py
@@ -37,7 +37,7 @@
 
 
 @command.command()
-@click.argument("file")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
 @SCHEMA
 @JSON
 def check(file, schema, as_json):
@@ -52,7 +52,7 @@
 
 
 @command.command()
-@click.argument("file")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
 @SCHEMA
 @JSON
 def show(file, schema, as_json):
--- a/lemonlead/matching/functions.py
+++ b/lemonlead/matching/functions.py
@@ -285,6 +285,15 @@
     Function(
         "hash", None, (BYTES,), INT, lambda a: 6 + a.size // 64, hashed, lambda a: Bounds(low=0, high=HIGHEST)
     ),
+    Function(
+        "hash",
+        None,
+        (INT,),
+        INT,
+        lambda a: 6,
+        lambda number: hashed(number.to_bytes(8, "big", signed=True)),
+        lambda a: Bounds(low=0, high=HIGHEST),
+    ),
     Function("int", None, (STRING,), INT, lambda a: 30, whole, errs=True),
     Function("int", None, (DOUBLE,), INT, lambda a: 12, whole, errs=True),
     Function("double", None, (INT,), DOUBLE, lambda a: 3, float, inline="float({0})"),
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -124,6 +124,8 @@
     done = run("rules", "check", "lane.cue", "--settings", "config.json")
     assert done.exit_code == 1 and "no lane 'sell'" in done.output
     assert run("rules", "check", "good.cue", "--settings", "none.json").exit_code == 2
+    assert run("rules", "check", "none.cue").exit_code == 2
+    assert run("rules", "cost", "bad.cue").exit_code == 2  # it cannot be used for what is asked
 
 
 def test_explain_says_which_rule_and_why_not(run, tmp_path):
--- a/tests/test_expressions.py
+++ b/tests/test_expressions.py
@@ -89,7 +89,7 @@
         ("['a', 'b'].join('-') + ['c'].join()", "a-bc"),
         ("lookup.key.matches('^[a-z]+/[0-9]+$') && matches(lookup.key, 'th')", True),
         ("'aXb'.matches('x')", False),
-        ("hash('a') == hash(b'a') && hash('a') >= 0", True),
+        ("hash('a') == hash(b'a') && hash('a') >= 0 && hash(1) != hash(2)", True),
         ("int('-42') + int(2.9)", -40),
         ("double(3) == 3.0", True),
         ("string(42) + string(b'x')", "42x"),
