Read once more: dead state and detours taken out; the test of a flood asks for a real drop

RuleSet.numbers was used by nobody, the index's add gave a value that nobody read, the hostile nest and one loop had branches that did the same, the world searched its heap to take out an arrival that need not have been put in, and merged gave a place that was always None. Behaviour is as it was.

--- a/lemonlead/matching/index.py
+++ b/lemonlead/matching/index.py
@@ -99,7 +99,6 @@
     def add(self, number, values):
         for value in values:
             self.rules.setdefault(value, []).append(number)
-        return True
 
     def build(self):
         pass
@@ -130,7 +129,6 @@
                 child = node[1][prefix[0]] = upper
             node, prefix = child, prefix[shared:]
         node[2].append(number)
-        return True
 
     def build(self):
         pass
@@ -172,7 +170,6 @@
 
     def add(self, number, low_high):
         self.ranges.append((*low_high, number))
-        return True
 
     def build(self):
         cuts = sorted(
@@ -216,7 +213,6 @@
     def add(self, number, pattern):
         self.numbers[self.set.Add(pattern)] = number
         self.all.append(number)
-        return True
 
     def build(self):
         self.set.Compile()
--- a/lemonlead/matching/rules.py
+++ b/lemonlead/matching/rules.py
@@ -169,7 +169,6 @@
         self.version, self.lanes = version, lanes
         self.customers = frozenset(customers) if customers is not None else None
         self.declared = declared or Declared(lanes=names)
-        self.numbers = {lane.number: name for name, lane in lanes.items()}
         self.faults, self.rules, seen = [], [], {}
         if len(written) > MOST_RULES:
             self.fault(0, "", Fault(COST, f"{len(written)} rules, {MOST_RULES} allowed"))
--- a/lemonlead/planning/steady.py
+++ b/lemonlead/planning/steady.py
@@ -32,7 +32,7 @@
     """The fleet under its load, as it is or after a flood."""
     stations = [
         (1 if pooled else count, kind, kind.cores * (count if pooled else 1))
-        for _, kind, count in merged(fleet)
+        for kind, count in merged(fleet)
     ]
     capacity = sum(times * servers * kind.speed for times, kind, servers in stations) or 1e-9
     first = {name: fleet.rate(name) for name in fleet.lanes}
@@ -56,7 +56,7 @@
     counts = {}
     for _, kind, count in fleet.machines():
         counts[kind.name] = counts.get(kind.name, 0) + count
-    return [(None, fleet.kinds[name], count) for name, count in counts.items()]
+    return [(fleet.kinds[name], count) for name, count in counts.items()]
 
 
 def serve(fleet, stations, capacity, asked):
--- a/lemonlead/planning/world.py
+++ b/lemonlead/planning/world.py
@@ -228,11 +228,10 @@
     # ---- clients
 
     def arrive(self, site, name, rate, end):
-        self.at(self.now + self.gap(rate), self.arrive, site, name, rate, end)
+        gap = self.gap(rate)
         if self.now >= end:
-            self.events = [event for event in self.events if event[3][:2] != (site, name)]
-            heapq.heapify(self.events)
             return
+        self.at(self.now + gap, self.arrive, site, name, rate, end)
         lane, spread = self.fleet.lanes[name], math.sqrt(math.log1p(self.fleet.lanes[name].cv ** 2))
         work = round(lane.work * self.random.lognormvariate(-spread * spread / 2, spread)) + 1
         second = self.seconds[self.now // S]
--- a/lemonlead/standins/expressions.py
+++ b/lemonlead/standins/expressions.py
@@ -258,7 +258,7 @@
     yield from ("(" * n + a + "+" + a + (f")+{a}" * n) for n in (5, 20, 38))
     yield from (f"{a}" + ".upper()" * n + ".size()" for n in (1, 3, 6, 10, 30))
     yield from (f"{a}.contains({part})" for part in ("'" + "a" * 100 + "b'", f"{a}", f"{a}.lower()", "'ab'"))
-    yield from (f"{a}.endsWith('b') || {a}.startsWith({a})" for _ in range(1))
+    yield f"{a}.endsWith('b') || {a}.startsWith({a})"
     yield from (
         "9223372036854775807 + 1",
         "-9223372036854775808 - 1",
@@ -366,8 +366,7 @@
 def nest(macro, depth, body, over="[1, 2, 3, 4, 5, 6, 7, 8, 9, 10]"):
     """Comprehensions within comprehensions."""
     for number in range(depth):
-        inner = body if macro in ("map",) or number == 0 else f"{body}"
-        body = f"{over}.{macro}(x{number}, {inner})"
+        body = f"{over}.{macro}(x{number}, {body})"
         if macro == "filter":
             body += ".size() > 0"
     return body
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -184,7 +184,7 @@
         + "clients: {retries: 6, patience: 0.25}\n"
     )
     calm, flooded = steady.reckon(read(text)), steady.reckon(read(text), flooded=True)
-    assert flooded.service <= calm.service and flooded.asked >= calm.asked
+    assert flooded.service < calm.service - 0.5 and flooded.asked > 2 * calm.asked
 
 
 def test_the_same_seed_gives_the_same_day_and_another_one_another(read):
