Overdue sends are judged by usual times of like work; a silent machine is left until it answers

Checked: the time to answer by work, as a mean of ratios, stood at 2.8 where all time by all work is 1.75, as light lookups that queue weigh as much as heavy ones (mean ratio 5.6 in the lightest tenth, 1.1 in the heaviest); thrice that is 1260 ms for usual work, past the goal time. Lines: overdue_at; and the strike of a silent send, 0.93 of one at 40 balancers, shunned nobody: it was sent the next lookup.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -26,6 +26,7 @@
 USUAL = 6  # an unhinted lookup's work goes so often into its goal time
 LOOKS, FLAGS = 8, 3  # looks at thin evidence a trial; wrong answers that send back, at twice the usual rate
 EASY = 0.55  # the share of its goal time that a lookup may take on average before some are pushed back
+OVERDUE = 2.5  # times what its work usually takes; one answer in twenty or thirty is later
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
 DRAWN = 24  # instances drawn for a choice: its cost hardly grows with the fleet; all are asked if none is fit
 STALE, WAITS = 5000 * MS, 8  # what is so old counts half; outcomes that show a lane or customer to wait
@@ -146,7 +147,9 @@
                 member.cut_at, member.limit = now, max(member.limit * 0.8, 1.0)
         elif end == SUCCEEDED and 2 * (len(member.out) + 1) >= member.limit:
             member.limit += 0.25 / member.limit
-        member.build.answers += end == SUCCEEDED
+        if end == SUCCEEDED:
+            member.build.answers += 1
+            member.group.answered(took, lookup.work)
         if end == SUCCEEDED and self.forward_only and lookup.key:
             member.build.keys.update({lookup.key, lookup.asked_key or lookup.key})
         # Answers are the build's, and what was waited for in vain while others got theirs; the path is not.
@@ -249,7 +252,10 @@
         lost, silent = member.newest > last.at, member.heard_at <= last.at
         if (lost or silent) and member.out.pop(last, last) is None:  # written off: it holds no place there
             member.held -= lookup.work
-            self.strike(member, now, silent * (0.5 + self.blind / 2))
+            self.strike(member, now, silent * min(0.5 + self.blind, 1.0))
+            if silent:  # its answer may still come and clear this; with few sends of one's own it tells most
+                pause = int((lookup.hard_stop - now) * self.blind)
+                member.shunned_until = max(member.shunned_until, now + pause)
         if not lost and (len(out) > 1 or self.rescues < 1):
             return False
         if self.may_duplicate and (other := self.choose(lookup, now)) is not None:
@@ -263,8 +269,8 @@
         return True
 
     def overdue_at(self, send):  # by what its work takes, too: a heavy lookup is not begun twice
-        usual = (send.instance.group.slowness or 1.0) * send.lookup.work
-        return send.at + max(send.lookup.lane.goal_time // 2, int(3 * usual))
+        lookup, group = send.lookup, send.instance.group
+        return send.at + max(lookup.lane.goal_time // 2, int(OVERDUE * group.usual(lookup.work)))
 
     def give_up(self, lookup, door):
         lookup.over, lane, ends = True, lookup.lane, {send.end for send in lookup.sends}
--- a/lemonlead/records.py
+++ b/lemonlead/records.py
@@ -10,6 +10,16 @@
 
     def __init__(self):
         self.slowness = 0.0
+        self.took = self.work = 0.0  # of its answers, smoothed: the time they took, their work
+
+    def answered(self, took, work):
+        for name, value in (("took", took), ("work", max(work, 1))):
+            old = getattr(self, name)
+            setattr(self, name, old + 0.05 * (value - old) if old else float(value))
+
+    def usual(self, work):
+        """The time that so much work usually takes: half of it waiting, which light and heavy ones share."""
+        return self.took * (1 + work / self.work) / 2 if self.work else work
 
 
 class Member:
