Pace fades when little is heard; a zone and kind whose sends are lost costs more

Its smoothed time stood at 1.0 from the lost zone and it sent one lookup in four or fewer; at a tenth of the way with each answer that took it 20 s to learn that all was well. Ruled out: a lane or customer that waits (all lanes alike), no room (nothing was out). Lines: send_ended, the update of pace. Now an answer after a silence moves it by up to all of the way.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -25,9 +25,11 @@
 TOLERANCE, SERVICE_TOLERANCE, ERROR_TOLERANCE = 1.0, 0.5, 0.02  # a breach is worse by more than this
 USUAL = 6  # an unhinted lookup's work goes so often into its goal time
 LOOKS, FLAGS = 8, 3  # looks at thin evidence a trial; wrong answers that send back, at twice the usual rate
-STEEP = 2
+PACE_AGE = 2000 * MS  # what is known of how long answers take is no older than this
+STEEP = 2  # shed by so many times what is past the next
 EASY = 0.45  # the share of its goal time that a lookup may take on average before some are pushed back
 OVERDUE = 2.5  # times what its work usually takes; one answer in twenty or thirty is later
+LOST = 4  # a zone and kind costs so much more when all that was sent there of late was lost on the way
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
 DRAWN = 24  # instances drawn for a choice: its cost hardly grows with the fleet; all are asked if none is fit
 STALE, WAITS = 5000 * MS, 8  # what is so old counts half; outcomes that show a lane or customer to wait
@@ -62,6 +64,7 @@
         self.like = set()  # kinds of machine that run it and the earlier build, where there are any
         self.taken, self.work_in = {}, 0  # as a build's `sent`: arrivals of lookups; the work let in
         self.mean_work = sum(self.lane_work.values()) / max(len(self.lane_work), 1)  # of a lookup taken
+        self.paced_at = start.now
         self.pace, self.rescues = 0.0, 5.0  # time to answer by goal time, smoothed; what RESCUES left over
         # Of each lane and customer: last times by goal time; lower quartile; if it waits, its last test.
         self.times, self.lows, self.tested = {}, {}, {}
@@ -127,6 +130,8 @@
         silent = member.heard_at <= send.at and end in (TIMED_OUT, WITHDRAWN)
         self.scarce += 0.1 * ((end == UNCONNECTED) - self.scarce)
         member.open_until = now + self.idle_time if answered else 0  # unsure where no answer came
+        if answered or end in (UNCONNECTED, RESET):
+            member.group.path_failed(not answered)
         if answered or end in (SPOILT, UNFIT):
             # What is spoilt on the way, or fit for none, tells no more. It could hide a build that spoils.
             member.heard_at, member.newest, member.strikes = now, max(member.newest, send.at), 0
@@ -137,7 +142,9 @@
         if not waits and (answered or end in (TIMED_OUT, WITHDRAWN) and slow and not written_off):
             # Guards against those that fail at once and draw all. It could idle one that fails one kind.
             spent = goal if end in (ERRED, REJECTED) else took
-            self.pace += 0.1 * (min(spent / goal, 2.0) - self.pace)
+            # A tenth of each, more where long none came: one that sheds hears little and would shed on.
+            say, self.paced_at = min(max((now - self.paced_at) / PACE_AGE, 0.1), 1.0), now
+            self.pace += say * (min(spent / goal, 2.0) - self.pace)
             ratio, say = spent / max(lookup.work, 1), min(lookup.work / self.mean_work, 1) ** (1 - self.blind)
             for known, rate in ((member.group, 0.1), (member, 0.15)):  # a light one that queued says little
                 known.slowness += rate * say * (ratio - known.slowness) if known.slowness else ratio
@@ -255,6 +262,7 @@
             member.held -= lookup.work
             self.strike(member, now, silent * min(0.5 + self.blind, 1.0))
             if silent:  # its answer may still come and clear this; with few sends of one's own it tells most
+                member.group.path_failed(True)
                 pause = int((lookup.hard_stop - now) * self.blind)
                 member.shunned_until = max(member.shunned_until, now + pause)
         if not lost and (len(out) > 1 or self.rescues < 1):
@@ -319,13 +327,15 @@
         return theirs > 0.8 and min(self.lows.values()) < 0.4
 
     def cost(self, member, lookup, now):
-        """Time to answer by what is out; old figures yield to the group's; the blinder, the more chance."""
+        """Time to answer by what is out; old figures yield to the group's; the blinder, the more chance. Few
+        sends of one's own tell of a lost zone sooner than of each of its instances."""
         slowness = member.group.slowness or 1.0
         if member.slowness:
             slowness += (member.slowness - slowness) / (1 + (now - member.heard_at) / STALE)
         across = 1.0 if member.zone == self.zone else self.across
         chance = self.rng.uniform(0.9, 1.1) * self.rng.expovariate(1.0) ** (self.blind / 2)
-        return slowness * (lookup.work + member.held) * across * chance / self.warmth(member, now)
+        lost = 1 + LOST * member.group.lost
+        return lost * slowness * (lookup.work + member.held) * across * chance / self.warmth(member, now)
 
     def usable(self, member, lookup, now):
         barred = member.held >= member.limit * self.mean_work or now < member.shunned_until
--- a/lemonlead/records.py
+++ b/lemonlead/records.py
@@ -10,6 +10,7 @@
 
     def __init__(self):
         self.slowness = 0.0
+        self.lost = 0.0  # the share of its last sends that the path lost, smoothed
         self.took = self.work = 0.0  # of its answers, smoothed: the time they took, their work
 
     def answered(self, took, work):
@@ -17,6 +18,9 @@
             old = getattr(self, name)
             setattr(self, name, old + 0.05 * (value - old) if old else float(value))
 
+    def path_failed(self, failed):
+        self.lost += 0.2 * (failed - self.lost)
+
     def usual(self, work):
         """The time that so much work usually takes: half of it waiting, which light and heavy ones share."""
         return self.took * (1 + work / self.work) / 2 if self.work else work
