Each balancer keeps to its own stretch of a ring of instances, so connections stay in use

A gateway of 192 has 3.4 lookups a second and drew 24 of 96 instances anew for each, so that it came back to one after 28 s, and an unused connection closes after 15. In the model of 40 gateways the same spread made each gateway learn each silent machine by itself. Ruled out: time-outs (5 % of sends) and resets (203) as the cause of connections; the idle time kept by us, 13.5 s, as too short. Lines: choose, rng.sample. Now the members stand on a ring by a hash of their id, and a balancer uses the stretch that starts at a multiple of the golden ratio by its own told number: even cover, no talk, little moved by a change of the list. It widens with its own lookups, by the idle time told, and skips whom it leaves alone. Nothing changes up to 24 instances.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -31,7 +31,9 @@
 OVERDUE = 2.5  # times what its work usually takes; one answer in twenty or thirty is later
 LOST = 4  # a zone and kind costs so much more when all that was sent there of late was lost on the way
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
-DRAWN = 24  # instances drawn for a choice: its cost hardly grows with the fleet; all are asked if none is fit
+DRAWN = 24  # instances that a balancer keeps to, or as many as it sends to eight times before an unused
+# connection closes: its own stretch of a ring of all; past them only if none of them is fit
+GOLDEN = 0.618034  # stretches that start at the multiples of this, modulo 1, cover the ring evenly
 STALE, WAITS = 5000 * MS, 8  # what is so old counts half; outcomes that show a lane or customer to wait
 STRAIN = (-1, "strain")  # the pair's figure of the earlier build by what it was before the trial
 
@@ -59,6 +61,8 @@
         self.chance = max(max(release.back_needed, 1) ** 0.5 - 1.3, 0.07) ** 2 / balancers / LOOKS
         self.vote_wait = release.answer_time + start.step + int(balancers * 1e9 / (release.votes_per_s or 1))
         self.members, self.groups = {}, {}  # by id, by zone and kind
+        # The members in the order in which this balancer uses them, and the time between lookups, smoothed.
+        self.ring, self.start_at, self.gap, self.last = [], start.me * GOLDEN % 1.0, 1e9, start.now
         # The build of the last news; the one on trial that has machines; the one that votes can still move.
         self.told = self.trial = self.judged = None
         self.like = set()  # kinds of machine that run it and the earlier build, where there are any
@@ -91,6 +95,9 @@
             self.members[row.id].ready = row.state == READY
         self.members = {id: m for id, m in self.members.items() if m.ready and (not whole or id in named)}
         self.ask_at = None if fresh else self.ask_at
+        ring = sorted(self.members.values(), key=lambda member: member.place)
+        cut = int(self.start_at * len(ring))
+        self.ring = ring[cut:] + ring[:cut]
         self.see_trial()
 
     def list_failed(self, now):
@@ -102,6 +109,7 @@
             self.taken.setdefault(counted, deque()).append(now)
             recent(self.taken[counted], now - self.taken_window)
         self.mean_work += 0.01 * (lookup.work - self.mean_work)
+        self.gap, self.last = self.gap + 0.05 * (now - self.last - self.gap), now
         self.rescues = min(self.rescues + RESCUES * (1 - self.pace * self.blind), 20.0)
         if self.trial is not None:
             # For like load: machines on trial are due as much as earlier ones, by what they can do.
@@ -297,11 +305,13 @@
         tried = [send.instance for send in lookup.sends]
         due = self.trial is not None and self.trial.credit >= 1 and not self.trial.bad
         trial = {build for build in self.builds.values() if self.on_trial(build)}
-        pool = [m for m in self.members.values() if whole or (m.build in trial) is due]
+        pool = [m for m in self.ring if whole or (m.build in trial) is due]
         if self.scarce > 0.05 and not whole:
             # Guards against connections that are few or slow. When machines die it keeps to what answers.
             pool = [m for m in pool if now < m.open_until] or pool
-        pool = pool if whole or len(pool) <= DRAWN else self.rng.sample(pool, DRAWN)
+        if not whole and len(pool) > (near := max(DRAWN, int(self.idle_time / 8 / (self.gap + 1)))):
+            # Guards against a handshake for each send where many share many. It could load some unevenly.
+            pool = [m for m in pool if now >= m.shunned_until][:near]
         best = least = None
         for member in pool:
             rank = (member in tried, (member.build in trial) is not due, self.cost(member, lookup, now))
--- a/lemonlead/planning/world.py
+++ b/lemonlead/planning/world.py
@@ -151,17 +151,19 @@
         self.gateways = []
         for site in fleet.sites.values():
             for _ in range(site.gateways):
-                self.gateways.append(Gateway(self, site.name, len(self.gateways), self.start(site.name)))
+                number = len(self.gateways)
+                self.gateways.append(Gateway(self, site.name, number, self.start(site.name, number)))
         lines = [self.line(machine) for machine in self.machines]
         for gateway in self.gateways:
             gateway.balancer.listed(0, lines, True, True)
             gateway.balancer.stage_told(0, 1, 0, at.RELEASED, 1.0, 0)
 
-    def start(self, site):
+    def start(self, site, number):
         fleet = self.fleet
         return at.Start(
             now=0,
             seed=self.random.getrandbits(64),
+            me=number,
             balancers=fleet.gateway_count(),
             zone=self.zones[site],
             step=5 * NS_MS,
@@ -402,7 +404,7 @@
             machine.up, machine.silent, machine.started = True, False, self.now
         for gateway in self.gateways:
             if not gateway.up:
-                new = Gateway(self, gateway.site, gateway.number, self.start(gateway.site))
+                new = Gateway(self, gateway.site, gateway.number, self.start(gateway.site, gateway.number))
                 new.balancer.listed(self.now, [self.line(m) for m in self.machines], True, True)
                 new.balancer.stage_told(self.now, 1, 0, at.RELEASED, 1.0, 0)
                 self.gateways[gateway.number] = new
--- a/lemonlead/records.py
+++ b/lemonlead/records.py
@@ -1,6 +1,7 @@
 """What a balancer (`lemonlead/balance.py`) keeps of instances and builds: plain records, no decision."""
 
 from collections import deque
+from zlib import crc32
 
 from .interface import ON_TRIAL
 
@@ -32,6 +33,7 @@
     def __init__(self, line, build, group, now, limit, cold_from, cold_due):
         self.id, self.zone, self.kind, self.cell = line.id, line.zone, line.kind, line.cell
         self.build, self.group, self.started = build, group, line.started
+        self.place = crc32(repr(line.id).encode())  # where on the ring it stands, the same at every balancer
         self.ready = True
         self.out = {}  # sends out, the oldest first
         self.held = 0  # their work
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1,12 +1,12 @@
 """The module's rules and the failures found, each on the state it needs."""
 
-from collections import deque
+from collections import Counter, deque
 
 import pytest
 from helpers import MS, NOW, Desk, balancer, judged, lane, line, lookup, sent
 
 from lemonlead import interface as at
-from lemonlead.balance import sound
+from lemonlead.balance import DRAWN, sound
 from lemonlead.odds import chance
 
 STAMPED_ZONE = lane(1, at.STAMPED, group="zone", memory=4000 * MS)
@@ -575,3 +575,94 @@
     made = balancer([line(1)], [lane(0), lane(1)], release=release)
     made.lookup_arrived(NOW, lookup(1, lane(1)))
     assert list(made.taken) == [1]
+
+
+# ---- many balancers
+
+
+def fleet_of(balancers, instances):
+    lines = [line(f"s-{n}") for n in range(instances)]
+    return [balancer(lines, balancers=balancers, me=n, idle_time=15 * SECOND) for n in range(balancers)]
+
+
+@pytest.mark.parametrize("balancers, instances", [(40, 60), (192, 96), (200, 150)])
+def test_many_balancers_cover_each_instance_evenly_and_each_keeps_to_few(balancers, instances):
+    covered = Counter()
+    for made in fleet_of(balancers, instances):
+        near = {member.id for member in made.ring[:DRAWN]}
+        assert {made.choose(lookup(n), NOW).id for n in range(5)} <= near
+        covered.update(member.id for member in made.ring[:DRAWN])
+    mean = balancers * DRAWN / instances
+    assert len(covered) == instances
+    assert all(abs(count - mean) <= 3 for count in covered.values())
+
+
+def test_what_a_stretch_loses_is_made_up_from_what_follows_it():
+    made = fleet_of(40, 60)[7]
+    for member in made.ring[: DRAWN - 1]:
+        member.shunned_until = NOW + SECOND
+    assert {made.choose(lookup(n), NOW) for n in range(400)} <= set(made.ring[DRAWN - 1 : 2 * DRAWN - 1])
+
+
+@pytest.mark.parametrize("gap, all_of_them", [(300 * MS, False), (5 * MS, True)])
+def test_a_balancer_with_more_lookups_uses_more_instances(gap, all_of_them):
+    made = fleet_of(40, 60)[7]
+    for n in range(200):
+        made.lookup_arrived(NOW + n * gap, lookup(n))
+    made.due.clear()
+    near = {made.choose(lookup(n), NOW).id for n in range(1000)}
+    assert (len(near) == 60) is all_of_them
+
+
+def test_a_change_of_the_list_moves_a_stretch_by_little():
+    made = fleet_of(192, 96)[100]
+    before = {member.id for member in made.ring[:DRAWN]}
+    made.listed(NOW, [line(f"new-{n}") for n in range(8)], False, True)
+    assert len(before & {member.id for member in made.ring[:DRAWN]}) >= DRAWN - 6
+
+
+@pytest.mark.parametrize("gap, shed", [(100 * MS, True), (2 * SECOND, False)])
+def test_a_balancer_that_hears_little_does_not_shed_on_what_was(gap, shed):
+    made = balancer([line(1)], balancers=200)
+    made.pace, made.paced_at = 1.0, NOW
+    for n in range(1, 3):
+        asked = lookup(n, now=NOW + n * gap)
+        made.send_ended(NOW + n * gap, sent(asked, made.members[1]), at.SUCCEEDED, 100 * MS, False, {})
+    assert any(made.sheds(lookup(9), NOW) for _ in range(100)) is shed
+
+
+@pytest.mark.parametrize("balancers, left", [(3, False), (200, True)])
+def test_with_few_sends_of_its_own_a_silent_machine_is_left_until_it_answers(balancers, left):
+    made = balancer([line(1), line(2)], balancers=balancers)
+    member, asked = made.members[1], lookup()
+    send = sent(asked, member)
+    made.due.append(asked)
+    member.heard_at = NOW
+    Desk().pull(made, NOW + 600 * MS)
+    assert made.usable(member, lookup(2), NOW + 3 * SECOND) is not left
+    made.send_ended(NOW + 800 * MS, send, at.SUCCEEDED, 800 * MS, False, {})
+    assert made.usable(member, lookup(2), NOW + 800 * MS)
+
+
+def test_a_zone_whose_sends_are_lost_costs_more_and_less_again_once_it_answers():
+    made = balancer([line(1), line(2), line(3, zone=1)], balancers=40)
+    lost, other = made.members[2], made.members[3]
+    for n in range(6):
+        made.send_ended(NOW, sent(lookup(n), made.members[1]), at.UNCONNECTED, MS, False, {})
+    assert sum(made.cost(lost, lookup(), NOW) > made.cost(other, lookup(), NOW) for _ in range(200)) > 150
+    for n in range(12):
+        made.send_ended(NOW, sent(lookup(n), made.members[1]), at.SUCCEEDED, 100 * MS, False, {})
+    assert lost.group.lost < 0.1
+
+
+@pytest.mark.parametrize("work, due", [(30, 500), (100, 500), (400, 1250)])
+def test_what_is_overdue_goes_by_what_like_work_took_however_long_light_ones_queued(work, due):
+    made = balancer([line(1)])
+    member = made.members[1]
+    for n in range(200):  # light ones take ten times their work, heavy ones hardly more than theirs
+        light = n % 2
+        asked = lookup(n, work=(10 if light else 190) * MS)
+        took = (100 if light else 300) * MS
+        made.send_ended(NOW, sent(asked, member), at.SUCCEEDED, took, False, {})
+    send = sent(lookup(work=work * MS), member)
+    assert made.overdue_at(send) - NOW == pytest.approx(due * MS, rel=0.15)
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -237,6 +237,37 @@
     assert told.service == pytest.approx(1.0, abs=0.01) and not math.isnan(told.used["cores of instances"])
 
 
+# ---- many gateways
+
+CROWD = """
+kinds: {fast: {cores: 3, slots: 70}, slow: {cores: 3, speed: 0.6, slots: 70}}
+lanes: {
+	look: {work: 180ms, cv: 0.85, goal: 1200ms, stop: 5s, revenue: 3.0}
+	check: {work: 110ms, cv: 0.8, goal: 1s, stop: 2500ms}
+	hold: {work: 110ms, cv: 0.8, goal: 1s, stop: 4s, effect: "stamped", revenue: 2.0}
+}
+clients: {retries: 1, patience: 0.6}
+sites: {
+	one: {gateways: 20, instances: {fast: 12, slow: 8}, load: {look: 60.0, check: 54.0, hold: 48.0}}
+	two: {gateways: 20, instances: {fast: 12, slow: 8}, load: {look: 60.0, check: 54.0, hold: 48.0}}
+	three: {gateways: 20, instances: {fast: 12, slow: 8}, load: {look: 60.0, check: 54.0, hold: 48.0}}
+}
+"""
+
+
+def test_sixty_gateways_serve_on_while_a_seventh_of_the_machines_says_nothing(read):
+    day = world.World(read(CROWD), 3)
+    day.pause(random.Random(3).sample(range(60), 9), 2 * world.S, 8 * world.S)
+    assert world.service(day.play(9)[2:8]) > 0.94
+
+
+def test_overload_of_sixty_gateways_turns_away_the_least_worth_and_serves_the_rest_in_time(read):
+    day = world.World(read(CROWD).grown(2.6), 3)
+    seconds = day.play(9)
+    assert world.service(seconds[4:]) > 0.58
+    assert all(not gateway.wants for gateway in day.gateways)
+
+
 # ---- the command
 
 
