--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -25,11 +25,15 @@
 TOLERANCE, SERVICE_TOLERANCE, ERROR_TOLERANCE = 1.0, 0.5, 0.02  # a breach is worse by more than this
 USUAL = 6  # an unhinted lookup's work goes so often into its goal time
 LOOKS, FLAGS = 8, 3  # looks at thin evidence a trial; wrong answers that send back, at twice the usual rate
-STEEP = 2
+PACE_AGE = 2000 * MS  # what is known of how long answers take is no older than this
+STEEP = 2  # shed by so many times what is past the next
 EASY = 0.45  # the share of its goal time that a lookup may take on average before some are pushed back
 OVERDUE = 2.5  # times what its work usually takes; one answer in twenty or thirty is later
+LOST = 4  # a zone and kind costs so much more when all that was sent there of late was lost on the way
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
-DRAWN = 24  # instances drawn for a choice: its cost hardly grows with the fleet; all are asked if none is fit
+DRAWN = 24  # instances that a balancer keeps to, or as many as it sends to eight times before an unused
+# connection closes: its own stretch of a ring of all; past them only if none of them is fit
+GOLDEN = 0.618034  # stretches that start at the multiples of this, modulo 1, cover the ring evenly
 STALE, WAITS = 5000 * MS, 8  # what is so old counts half; outcomes that show a lane or customer to wait
 STRAIN = (-1, "strain")  # the pair's figure of the earlier build by what it was before the trial
 
@@ -57,11 +61,14 @@
         self.chance = max(max(release.back_needed, 1) ** 0.5 - 1.3, 0.07) ** 2 / balancers / LOOKS
         self.vote_wait = release.answer_time + start.step + int(balancers * 1e9 / (release.votes_per_s or 1))
         self.members, self.groups = {}, {}  # by id, by zone and kind
+        # The members in the order in which this balancer uses them, and the time between lookups, smoothed.
+        self.ring, self.start_at, self.gap, self.last = [], start.me * GOLDEN % 1.0, 1e9, start.now
         # The build of the last news; the one on trial that has machines; the one that votes can still move.
         self.told = self.trial = self.judged = None
         self.like = set()  # kinds of machine that run it and the earlier build, where there are any
         self.taken, self.work_in = {}, 0  # as a build's `sent`: arrivals of lookups; the work let in
         self.mean_work = sum(self.lane_work.values()) / max(len(self.lane_work), 1)  # of a lookup taken
+        self.paced_at = start.now
         self.pace, self.rescues = 0.0, 5.0  # time to answer by goal time, smoothed; what RESCUES left over
         # Of each lane and customer: last times by goal time; lower quartile; if it waits, its last test.
         self.times, self.lows, self.tested = {}, {}, {}
@@ -88,6 +95,9 @@
             self.members[row.id].ready = row.state == READY
         self.members = {id: m for id, m in self.members.items() if m.ready and (not whole or id in named)}
         self.ask_at = None if fresh else self.ask_at
+        ring = sorted(self.members.values(), key=lambda member: member.place)
+        cut = int(self.start_at * len(ring))
+        self.ring = ring[cut:] + ring[:cut]
         self.see_trial()
 
     def list_failed(self, now):
@@ -99,6 +109,7 @@
             self.taken.setdefault(counted, deque()).append(now)
             recent(self.taken[counted], now - self.taken_window)
         self.mean_work += 0.01 * (lookup.work - self.mean_work)
+        self.gap, self.last = self.gap + 0.05 * (now - self.last - self.gap), now
         self.rescues = min(self.rescues + RESCUES * (1 - self.pace * self.blind), 20.0)
         if self.trial is not None:
             # For like load: machines on trial are due as much as earlier ones, by what they can do.
@@ -127,6 +138,8 @@
         silent = member.heard_at <= send.at and end in (TIMED_OUT, WITHDRAWN)
         self.scarce += 0.1 * ((end == UNCONNECTED) - self.scarce)
         member.open_until = now + self.idle_time if answered else 0  # unsure where no answer came
+        if answered or end in (UNCONNECTED, RESET):
+            member.group.path_failed(not answered)
         if answered or end in (SPOILT, UNFIT):
             # What is spoilt on the way, or fit for none, tells no more. It could hide a build that spoils.
             member.heard_at, member.newest, member.strikes = now, max(member.newest, send.at), 0
@@ -137,7 +150,9 @@
         if not waits and (answered or end in (TIMED_OUT, WITHDRAWN) and slow and not written_off):
             # Guards against those that fail at once and draw all. It could idle one that fails one kind.
             spent = goal if end in (ERRED, REJECTED) else took
-            self.pace += 0.1 * (min(spent / goal, 2.0) - self.pace)
+            # A tenth of each, more where long none came: one that sheds hears little and would shed on.
+            say, self.paced_at = min(max((now - self.paced_at) / PACE_AGE, 0.1), 1.0), now
+            self.pace += say * (min(spent / goal, 2.0) - self.pace)
             ratio, say = spent / max(lookup.work, 1), min(lookup.work / self.mean_work, 1) ** (1 - self.blind)
             for known, rate in ((member.group, 0.1), (member, 0.15)):  # a light one that queued says little
                 known.slowness += rate * say * (ratio - known.slowness) if known.slowness else ratio
@@ -255,6 +270,7 @@
             member.held -= lookup.work
             self.strike(member, now, silent * min(0.5 + self.blind, 1.0))
             if silent:  # its answer may still come and clear this; with few sends of one's own it tells most
+                member.group.path_failed(True)
                 pause = int((lookup.hard_stop - now) * self.blind)
                 member.shunned_until = max(member.shunned_until, now + pause)
         if not lost and (len(out) > 1 or self.rescues < 1):
@@ -289,11 +305,13 @@
         tried = [send.instance for send in lookup.sends]
         due = self.trial is not None and self.trial.credit >= 1 and not self.trial.bad
         trial = {build for build in self.builds.values() if self.on_trial(build)}
-        pool = [m for m in self.members.values() if whole or (m.build in trial) is due]
+        pool = [m for m in self.ring if whole or (m.build in trial) is due]
         if self.scarce > 0.05 and not whole:
             # Guards against connections that are few or slow. When machines die it keeps to what answers.
             pool = [m for m in pool if now < m.open_until] or pool
-        pool = pool if whole or len(pool) <= DRAWN else self.rng.sample(pool, DRAWN)
+        if not whole and len(pool) > (near := max(DRAWN, int(self.idle_time / 8 / (self.gap + 1)))):
+            # Guards against a handshake for each send where many share many. It could load some unevenly.
+            pool = [m for m in pool if now >= m.shunned_until][:near]
         best = least = None
         for member in pool:
             rank = (member in tried, (member.build in trial) is not due, self.cost(member, lookup, now))
@@ -319,13 +337,15 @@
         return theirs > 0.8 and min(self.lows.values()) < 0.4
 
     def cost(self, member, lookup, now):
-        """Time to answer by what is out; old figures yield to the group's; the blinder, the more chance."""
+        """Time to answer by what is out; old figures yield to the group's; the blinder, the more chance. Few
+        sends of one's own tell of a lost zone sooner than of each of its instances."""
         slowness = member.group.slowness or 1.0
         if member.slowness:
             slowness += (member.slowness - slowness) / (1 + (now - member.heard_at) / STALE)
         across = 1.0 if member.zone == self.zone else self.across
         chance = self.rng.uniform(0.9, 1.1) * self.rng.expovariate(1.0) ** (self.blind / 2)
-        return slowness * (lookup.work + member.held) * across * chance / self.warmth(member, now)
+        lost = 1 + LOST * member.group.lost
+        return lost * slowness * (lookup.work + member.held) * across * chance / self.warmth(member, now)
 
     def usable(self, member, lookup, now):
         barred = member.held >= member.limit * self.mean_work or now < member.shunned_until
--- a/lemonlead/records.py
+++ b/lemonlead/records.py
@@ -1,6 +1,7 @@
 """What a balancer (`lemonlead/balance.py`) keeps of instances and builds: plain records, no decision."""
 
 from collections import deque
+from zlib import crc32
 
 from .interface import ON_TRIAL
 
@@ -10,6 +11,7 @@
 
     def __init__(self):
         self.slowness = 0.0
+        self.lost = 0.0  # the share of its last sends that the path lost, smoothed
         self.took = self.work = 0.0  # of its answers, smoothed: the time they took, their work
 
     def answered(self, took, work):
@@ -17,6 +19,9 @@
             old = getattr(self, name)
             setattr(self, name, old + 0.05 * (value - old) if old else float(value))
 
+    def path_failed(self, failed):
+        self.lost += 0.2 * (failed - self.lost)
+
     def usual(self, work):
         """The time that so much work usually takes: half of it waiting, which light and heavy ones share."""
         return self.took * (1 + work / self.work) / 2 if self.work else work
@@ -28,6 +33,7 @@
     def __init__(self, line, build, group, now, limit, cold_from, cold_due):
         self.id, self.zone, self.kind, self.cell = line.id, line.zone, line.kind, line.cell
         self.build, self.group, self.started = build, group, line.started
+        self.place = crc32(repr(line.id).encode())  # where on the ring it stands, the same at every balancer
         self.ready = True
         self.out = {}  # sends out, the oldest first
         self.held = 0  # their work
