Votes for on that are turned away come ever less often; those back do not wait

With a pause of 0.2 to 0.4 s all gateways knocked 280 times a second, so that a vote back got through once in 3.6 s, as long as a vote stands; bad builds went back after 14 to 16 s (4 to 6 with 40 gateways).

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -12,7 +12,7 @@
 from statistics import median
 
 from .interface import (
-    BACK, COUNTED, ERRED, HARMLESS, HOLD, NEVER_RAN, ON, ON_TRIAL, ONE_SHOT, READY, REJECTED,
+    BACK, COUNTED, ERRED, HARMLESS, HOLD, NEVER_RAN, ON, ON_TRIAL, ONE_SHOT, OVER_ALLOWANCE, READY, REJECTED,
     RELEASED, RESET, SPOILT, STAMPED, SUCCEEDED, TIMED_OUT, UNCONNECTED, UNFIT, WITHDRAWN, Send,
 )
 from .odds import chance
@@ -79,6 +79,7 @@
         self.news = self.look = False  # an outcome came since the pair was last judged; a vote may be due
         self.share = self.calm_time = 0.0  # of the load, due to the trial; last pair's median with no trial
         self.vote_out, self.vote_at, self.vote_busy = None, start.now, start.now  # that stands, due, awaited
+        self.vote_pause = 0  # what it waits after it was turned away as one too many
 
     # ---- inputs: they only update what is known
 
@@ -195,9 +196,17 @@
         self.see_trial()
 
     def vote_answered(self, now, answer):
-        self.vote_busy = self.vote_at = now + int(self.rng.uniform(200, 400) * MS)
+        """Guards against many that ask a full platform in step: those that find no harm ask ever less often,
+        so that votes back get through, and a vote that stands is not renewed early at another's cost."""
+        if answer == OVER_ALLOWANCE and self.vote_out[2] != BACK:
+            self.vote_pause = min(2 * self.vote_pause or 400 * MS, self.vote_life)
+        short, chance = 400 * MS, self.rng.uniform(0.5, 1.0)
+        wait = short if self.vote_out[2] == BACK else max(self.vote_pause, short)
+        self.vote_busy, self.vote_at = now + int(chance * short), now + int(chance * wait)
         if answer == COUNTED:
-            self.vote_busy, self.vote_at = now, now + int(self.vote_life * self.rng.uniform(0.6, 0.8))
+            late = 0.2 if self.vote_pause else 0.0
+            self.vote_busy, self.vote_pause = now, self.vote_pause // 2
+            self.vote_at = now + int(self.vote_life * (self.rng.uniform(0.6, 0.8) + late))
 
     # ---- decisions, pulled one by one
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -666,3 +666,24 @@
         made.send_ended(NOW, sent(asked, member), at.SUCCEEDED, took, False, {})
     send = sent(lookup(work=work * MS), member)
     assert made.overdue_at(send) - NOW == pytest.approx(due * MS, rel=0.15)
+
+
+def test_votes_on_that_are_turned_away_come_ever_less_often_and_spread_and_those_back_do_not():
+    pauses = {at.ON: [], at.BACK: []}
+    for seed in range(20):
+        for verdict in pauses:
+            made = balancer([line(1)], seed=seed, balancers=200)
+            made.vote_out = (2, 0, verdict)
+            for _ in range(6):
+                made.vote_answered(NOW, at.OVER_ALLOWANCE)
+            pauses[verdict].append(made.vote_at - NOW)
+            assert made.vote_busy <= NOW + 400 * MS  # another verdict, or another stage, goes out before
+    assert 1900 * MS < min(pauses[at.ON]) < 2500 * MS and 3500 * MS < max(pauses[at.ON]) <= 4000 * MS
+    assert max(pauses[at.BACK]) <= 400 * MS
+
+
+def test_a_vote_that_stands_is_renewed_late_while_the_platform_is_full():
+    made = balancer([line(1)])
+    made.vote_out, made.vote_pause = (2, 0, at.ON), 800 * MS
+    made.vote_answered(NOW, at.COUNTED)
+    assert made.vote_at >= NOW + 3200 * MS and made.vote_pause == 400 * MS
