A lane or customer that waited is served again after one quick test

Checked: all lanes and customers but one had a lower quartile of their last 8 times over 0.8 of the goal, from a cut of 6 s; each was tested once in two goal times, and what waits is left out of the smoothed time. Ruled out: no room (1 or 2 lookups out), the smoothed time's age (it heard nothing). Lines: send_ended, times and lows. A quick answer now drops the old times of its lane and customer.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -134,6 +134,8 @@
         if end in (SUCCEEDED, ERRED, TIMED_OUT):
             for kind in kinds_of(lookup):
                 times = self.times.setdefault(kind, deque(maxlen=WAITS))
+                if took < 0.4 * goal and self.lows.get(kind, 0.0) > 0.8:
+                    times.clear()  # it waits no longer; its tests are few, and the old times would outlast it
                 times.append(took / goal)
                 self.lows[kind] = sorted(times)[WAITS // 4] if len(times) == WAITS else 0.5
         silent = member.heard_at <= send.at and end in (TIMED_OUT, WITHDRAWN)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -687,3 +687,14 @@
     made.vote_out, made.vote_pause = (2, 0, at.ON), 800 * MS
     made.vote_answered(NOW, at.COUNTED)
     assert made.vote_at >= NOW + 3200 * MS and made.vote_pause == 400 * MS
+
+
+@pytest.mark.parametrize("took, waits", [(300, False), (900, True)])
+def test_a_lane_that_waited_is_served_again_after_one_quick_test(took, waits):
+    made = balancer([line(1)], lanes=[lane(0), lane(1)], balancers=200)
+    made.lows[("lane", 1)], made.pace, asked = 0.2, 1.0, lookup()
+    for n in range(8):
+        made.send_ended(NOW, sent(lookup(n), made.members[1]), at.SUCCEEDED, 3 * SECOND, False, {})
+    assert made.waits(asked)
+    made.send_ended(NOW, sent(asked, made.members[1]), at.SUCCEEDED, took * MS, False, {})
+    assert made.waits(lookup()) is waits
