--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -153,9 +153,10 @@
         if not waits and (answered or end in (TIMED_OUT, WITHDRAWN) and slow and not written_off):
             # Guards against those that fail at once and draw all. It could idle one that fails one kind.
             spent = goal if end in (ERRED, REJECTED) else took
-            # A tenth of each, more where long none came: one that sheds hears little and would shed on.
-            say, self.paced_at = min(max((now - self.paced_at) / PACE_AGE, 0.1), 1.0), now
-            self.pace += say * (min(spent / goal, 2.0) - self.pace)
+            # A tenth of each; after a silence the whole way down, as one that sheds hears little. Not up: one
+            # late answer makes no overload.
+            part, aged, self.paced_at = min(spent / goal, 2.0), (now - self.paced_at) / PACE_AGE, now
+            self.pace += (min(max(aged, 0.1), 1.0) if part < self.pace else 0.1) * (part - self.pace)
             ratio, say = spent / max(lookup.work, 1), min(lookup.work / self.mean_work, 1) ** (1 - self.blind)
             for known, rate in ((member.group, 0.1), (member, 0.15)):  # a light one that queued says little
                 known.slowness += rate * say * (ratio - known.slowness) if known.slowness else ratio
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -698,3 +698,10 @@
     assert made.waits(asked)
     made.send_ended(NOW, sent(asked, made.members[1]), at.SUCCEEDED, took * MS, False, {})
     assert made.waits(lookup()) is waits
+
+
+def test_one_late_answer_after_a_silence_makes_no_overload():
+    made = balancer([line(1)], balancers=200)
+    made.pace, made.paced_at = 0.2, NOW - 3 * SECOND
+    made.send_ended(NOW, sent(lookup(), made.members[1]), at.SUCCEEDED, 2 * SECOND, False, {})
+    assert made.pace == pytest.approx(0.38)
