--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -705,3 +705,28 @@
     made.pace, made.paced_at = 0.2, NOW - 3 * SECOND
     made.send_ended(NOW, sent(lookup(), made.members[1]), at.SUCCEEDED, 2 * SECOND, False, {})
     assert made.pace == pytest.approx(0.38)
+
+
+def test_nothing_grows_while_builds_ids_and_lookups_come_and_go():
+    made, desk, moment = balancer(balancers=200), Desk(), NOW
+    for build in range(1, 200):
+        made.stage_told(moment, build, 0, at.RELEASED, 1.0, 0)
+        made.listed(moment, [line(f"s-{build}-{n}", build=build, zone=n % 3) for n in range(30)], True, True)
+        for n in range(10):
+            asked = lookup((build, n), now=moment, left=4 * SECOND)
+            made.lookup_arrived(moment, asked)
+            desk.pull(made, moment)
+            end = (at.SUCCEEDED, at.TIMED_OUT, at.RESET, at.UNCONNECTED)[n % 4]
+            for send in [send for send in asked.sends if not send.end]:
+                made.send_ended(moment, send, end, 100 * MS, True, {})
+            moment += 300 * MS
+    desk.pull(made, moment + 10 * SECOND)
+    sizes = {
+        "members": len(made.members), "ring": len(made.ring), "groups": len(made.groups),
+        "builds": len(made.builds), "wakes": len(made.wakes), "due": len(made.due), "notes": len(made.notes),
+        "times": len(made.times), "taken": sum(map(len, made.taken.values())),
+        "out": sum(len(member.out) for member in made.members.values()),
+    }
+    assert sizes["members"] == sizes["ring"] == 30 and sizes["builds"] <= 2 and sizes["groups"] == 3
+    assert sizes["wakes"] == sizes["due"] == sizes["notes"] == sizes["out"] == 0
+    assert sizes["times"] <= 2 and sizes["taken"] <= 20
