Discovery that has too many callers is asked ever less often; first calls are spread

Ruled out: the platform's allowance (none turned away), the list being read wrongly (never got). Lines: discovery.py run, upkeep.py wait, whose pause grows to 1 s: calls that wait 2 s in vain came again after 1.4 s, and what is given up still takes its turn. After a 503 the pause now starts at 1 s and grows to 8 s; other failures as before. balance.py: all asked in the instant of their start; now spread by the number of balancers told.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -73,7 +73,9 @@
         # Of each lane and customer: last times by goal time; lower quartile; if it waits, its last test.
         self.times, self.lows, self.tested = {}, {}, {}
         self.due, self.notes, self.wakes, self.turns = deque(), deque(), [], count()  # lookups, lines, timers
-        self.next_tick, self.ask_at = start.now, start.now if start.ask_for_list else None
+        # The more start together, the longer they spread their first call for the list.
+        first = start.now + int(self.rng.random() * min(25 * MS * (balancers - 1), 2000 * MS))
+        self.next_tick, self.ask_at = start.now, first if start.ask_for_list else None
         self.pair_at, self.pair = None, {}  # the pair now open: its start, its outcomes by (on trial, lane)
         self.scarce, self.idle_time = 0.0, start.idle_time - start.step  # share of sends left unconnected
         self.news = self.look = False  # an outcome came since the pair was last judged; a vote may be due
--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -35,7 +35,7 @@
             reason, detail = self.upkeep.run(self.watch)
             self.counters.add(f"watches ended: {reason}")
             self.log.info("watch ended", reason=reason, detail=detail, version=self.version)
-            self.upkeep.wait()
+            self.upkeep.wait(crowded=reason == "unavailable")
             self.desk.tell(self.desk.balancer.list_failed)
 
     def watch(self):
--- a/lemonlead/gateway/upkeep.py
+++ b/lemonlead/gateway/upkeep.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 
+CROWDED = 8.0  # seconds: the longest pause after one that had too many callers
 CONNECTS = 1.0  # seconds; what has not come up by then is tried anew, to be early once it can be reached
 REASONS = {ConnectionRefusedError: "refused", ConnectionResetError: "reset", BrokenPipeError: "reset"}
 
@@ -62,7 +63,11 @@
             self.room.notify_all()
             return True
 
-    def wait(self):
+    def wait(self, crowded=False):
+        """`crowded`: the other side had too many callers. What waits there in vain takes the place of what
+        would be served, so that all must come less often until each gets through; it learns later then."""
+        if crowded:
+            self.length = max(self.length, self.longest)
         with self.room:
             self.room.wait_for(lambda: self.moving, self.length * self.random.uniform(0.5, 1.0))
-        self.length = min(2 * self.length, self.longest)
+        self.length = min(2 * self.length, CROWDED if crowded else self.longest)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -6,7 +6,7 @@
 from helpers import MS, NOW, Desk, balancer, judged, lane, line, lookup, sent
 
 from lemonlead import interface as at
-from lemonlead.balance import DRAWN, sound
+from lemonlead.balance import DRAWN, Balancer, sound
 from lemonlead.odds import chance
 
 STAMPED_ZONE = lane(1, at.STAMPED, group="zone", memory=4000 * MS)
@@ -730,3 +730,11 @@
     assert sizes["members"] == sizes["ring"] == 30 and sizes["builds"] <= 2 and sizes["groups"] == 3
     assert sizes["wakes"] == sizes["due"] == sizes["notes"] == sizes["out"] == 0
     assert sizes["times"] <= 2 and sizes["taken"] <= 20
+
+
+@pytest.mark.parametrize(
+    "balancers, least, most", [(1, 0, 0), (3, 20, 50), (40, 700, 975), (200, 1500, 2000)]
+)
+def test_the_more_balancers_start_together_the_longer_they_spread_their_first_call(balancers, least, most):
+    starts = [at.Start(now=0, seed=n, balancers=balancers, ask_for_list=True) for n in range(40)]
+    assert least <= max(Balancer(start).ask_at for start in starts) / MS <= most
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -1,6 +1,8 @@
 """The gateway's drivers, one call at a time, without a network but for a socket pair."""
 
+import heapq
 import json
+import random
 import socket
 import threading
 import time
@@ -10,6 +12,7 @@
 from helpers import MS, lookup
 
 from lemonlead import interface as at
+from lemonlead.gateway import upkeep
 from lemonlead.gateway.buffer import Malformed
 from lemonlead.gateway.clients import Client, Gate
 from lemonlead.gateway.counters import Counters
@@ -317,3 +320,40 @@
     assert len(taken) == 5 and gate.closed.is_set()
     for sock in waiting + taken + [gate.listener]:
         sock.close()
+
+
+@pytest.mark.parametrize("crowded, longest", [(False, 1.0), (True, 8.0)])
+def test_who_finds_too_many_callers_comes_ever_less_often_until_it_gets_through(crowded, longest):
+    kept, waited = upkeep.Upkeep(("127.0.0.1", 1), 7, 0.05, 1.0), []
+    kept.room.wait_for = lambda moving, seconds: waited.append(seconds)
+    for _ in range(12):
+        kept.wait(crowded)
+    assert longest / 2 <= waited[-1] <= longest and max(waited) <= longest
+    assert not crowded or waited[0] >= 0.5
+    kept.worked()
+    kept.wait()
+    assert waited[-1] <= 0.05
+
+
+def served(calls, grows):
+    """How many callers that start together get through within a minute to a service that works calls off in
+    turn, also those given up meanwhile: 0.15 s a call, 2 s until one is given up."""
+    chances, free, through, queue = random.Random(3), 0.0, 0, []
+    for number in range(calls):
+        kept = upkeep.Upkeep(("127.0.0.1", 1), number, 0.05, 1.0)
+        kept.room.wait_for = lambda moving, seconds, kept=kept: setattr(kept, "waited", seconds)
+        queue.append((chances.random() * 0.1, number, kept))
+    heapq.heapify(queue)
+    while queue and queue[0][0] < 60:
+        moment, number, kept = heapq.heappop(queue)
+        free = max(free, moment) + 0.15
+        if free - moment <= 2.0:
+            through += 1
+            continue
+        kept.wait(grows)
+        heapq.heappush(queue, (moment + 2.0 + 0.6 + kept.waited, number, kept))
+    return through
+
+
+def test_a_service_that_works_off_what_was_given_up_serves_a_crowd_that_backs_off():
+    assert served(40, grows=False) < 20 and served(40, grows=True) == 40
