--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -203,11 +203,12 @@
     def vote_answered(self, now, answer):
         """Guards against many that ask a full platform in step: those that find no harm ask ever less often,
         so that votes back get through, and a vote that stands is not renewed early at another's cost."""
-        if answer == OVER_ALLOWANCE and self.vote_out[2] != BACK:
+        back = self.vote_out is not None and self.vote_out[2] == BACK
+        if answer == OVER_ALLOWANCE and not back:
             self.vote_pause = min(2 * self.vote_pause or 400 * MS, self.vote_life)
-        short, chance = 400 * MS, self.rng.uniform(0.5, 1.0)
-        wait = short if self.vote_out[2] == BACK else max(self.vote_pause, short)
-        self.vote_busy, self.vote_at = now + int(chance * short), now + int(chance * wait)
+        short, part = 400 * MS, self.rng.uniform(0.5, 1.0)
+        wait = short if back else max(self.vote_pause, short)
+        self.vote_busy, self.vote_at = now + int(part * short), now + int(part * wait)
         if answer == COUNTED:
             late = 0.2 if self.vote_pause else 0.0
             self.vote_busy, self.vote_pause = now, self.vote_pause // 2
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -682,6 +682,12 @@
     assert max(pauses[at.BACK]) <= 400 * MS
 
 
+def test_an_answer_to_a_vote_of_before_the_start_is_taken_calmly():
+    made = balancer([line(1)])
+    made.vote_answered(NOW, at.OVER_ALLOWANCE)
+    assert NOW < made.vote_busy <= NOW + 400 * MS
+
+
 def test_a_vote_that_stands_is_renewed_late_while_the_platform_is_full():
     made = balancer([line(1)])
     made.vote_out, made.vote_pause = (2, 0, at.ON), 800 * MS
