--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -6,7 +6,7 @@
 from helpers import MS, NOW, Desk, balancer, judged, lane, line, lookup, sent
 
 from lemonlead import interface as at
-from lemonlead.balance import DRAWN, sound
+from lemonlead.balance import DRAWN, Balancer, sound
 from lemonlead.odds import chance
 
 STAMPED_ZONE = lane(1, at.STAMPED, group="zone", memory=4000 * MS)
@@ -682,6 +682,12 @@
     assert max(pauses[at.BACK]) <= 400 * MS
 
 
+def test_an_answer_to_a_vote_of_before_the_start_is_taken_calmly():
+    made = balancer([line(1)])
+    made.vote_answered(NOW, at.OVER_ALLOWANCE)
+    assert NOW < made.vote_busy <= NOW + 400 * MS
+
+
 def test_a_vote_that_stands_is_renewed_late_while_the_platform_is_full():
     made = balancer([line(1)])
     made.vote_out, made.vote_pause = (2, 0, at.ON), 800 * MS
@@ -705,3 +711,36 @@
     made.pace, made.paced_at = 0.2, NOW - 3 * SECOND
     made.send_ended(NOW, sent(lookup(), made.members[1]), at.SUCCEEDED, 2 * SECOND, False, {})
     assert made.pace == pytest.approx(0.38)
+
+
+def test_nothing_grows_while_builds_ids_and_lookups_come_and_go():
+    made, desk, moment = balancer(balancers=200), Desk(), NOW
+    for build in range(1, 200):
+        made.stage_told(moment, build, 0, at.RELEASED, 1.0, 0)
+        made.listed(moment, [line(f"s-{build}-{n}", build=build, zone=n % 3) for n in range(30)], True, True)
+        for n in range(10):
+            asked = lookup((build, n), now=moment, left=4 * SECOND)
+            made.lookup_arrived(moment, asked)
+            desk.pull(made, moment)
+            end = (at.SUCCEEDED, at.TIMED_OUT, at.RESET, at.UNCONNECTED)[n % 4]
+            for send in [send for send in asked.sends if not send.end]:
+                made.send_ended(moment, send, end, 100 * MS, True, {})
+            moment += 300 * MS
+    desk.pull(made, moment + 10 * SECOND)
+    sizes = {
+        "members": len(made.members), "ring": len(made.ring), "groups": len(made.groups),
+        "builds": len(made.builds), "wakes": len(made.wakes), "due": len(made.due), "notes": len(made.notes),
+        "times": len(made.times), "taken": sum(map(len, made.taken.values())),
+        "out": sum(len(member.out) for member in made.members.values()),
+    }
+    assert sizes["members"] == sizes["ring"] == 30 and sizes["builds"] <= 2 and sizes["groups"] == 3
+    assert sizes["wakes"] == sizes["due"] == sizes["notes"] == sizes["out"] == 0
+    assert sizes["times"] <= 2 and sizes["taken"] <= 20
+
+
+@pytest.mark.parametrize(
+    "balancers, least, most", [(1, 0, 0), (3, 20, 50), (40, 700, 975), (200, 1500, 2000)]
+)
+def test_the_more_balancers_start_together_the_longer_they_spread_their_first_call(balancers, least, most):
+    starts = [at.Start(now=0, seed=n, balancers=balancers, ask_for_list=True) for n in range(40)]
+    assert least <= max(Balancer(start).ask_at for start in starts) / MS <= most
