--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -31,7 +31,7 @@
 OVERDUE = 2.5  # times what its work usually takes; one answer in twenty or thirty is later
 LOST = 4  # a zone and kind costs so much more when all that was sent there of late was lost on the way
 RESCUES = 0.1  # second copies (or resends of what is slow) a lookup taken, so that a jam is not fed
-DRAWN = 24  # instances that a balancer keeps to, or as many as it sends to eight times before an unused
+NEAR = 24  # instances that a balancer keeps to, or as many as it sends to eight times before an unused
 # connection closes: its own stretch of a ring of all; past them only if none of them is fit
 GOLDEN = 0.618034  # stretches that start at the multiples of this, modulo 1, cover the ring evenly
 STALE, WAITS = 5000 * MS, 8  # what is so old counts half; outcomes that show a lane or customer to wait
@@ -144,7 +144,7 @@
         self.scarce += 0.1 * ((end == UNCONNECTED) - self.scarce)
         member.open_until = now + self.idle_time if answered else 0  # unsure where no answer came
         if answered or end in (UNCONNECTED, RESET):
-            member.group.path_failed(not answered)
+            member.group.lost += 0.2 * ((not answered) - member.group.lost)
         if answered or end in (SPOILT, UNFIT):
             # What is spoilt on the way, or fit for none, tells no more. It could hide a build that spoils.
             member.heard_at, member.newest, member.strikes = now, max(member.newest, send.at), 0
@@ -170,8 +170,9 @@
         elif end == SUCCEEDED and 2 * (len(member.out) + 1) >= member.limit:
             member.limit += 0.25 / member.limit
         if end == SUCCEEDED:
-            member.build.answers += 1
-            member.group.answered(took, lookup.work)
+            member.build.answers, group = member.build.answers + 1, member.group
+            group.took = smoothed(group.took, took, 0.05)
+            group.work = smoothed(group.work, max(lookup.work, 1), 0.05)
         if end == SUCCEEDED and self.forward_only and lookup.key:
             member.build.keys.update({lookup.key, lookup.asked_key or lookup.key})
         # Answers are the build's, and what was waited for in vain while others got theirs; the path is not.
@@ -179,9 +180,9 @@
         if self.pair_at is not None and not waits and theirs:
             self.note_outcome(now, member, lookup, end, took)
         if service := report.get("svc_ms"):
-            member.service += 0.3 * (service - member.service) if member.service else service
+            member.service = smoothed(member.service, service, 0.3)
             if self.trial is None:
-                member.usual += 0.1 * (service - member.usual) if member.usual else service
+                member.usual = smoothed(member.usual, service, 0.1)
 
     def strike(self, member, now, weight):
         """Guards against the dead, silent or cut off; one reset is no sign. It could harm slow connects."""
@@ -285,7 +286,7 @@
             member.held -= lookup.work
             self.strike(member, now, silent * min(0.5 + self.blind, 1.0))
             if silent:  # its answer may still come and clear this; with few sends of one's own it tells most
-                member.group.path_failed(True)
+                member.group.lost += 0.2 * (1 - member.group.lost)
                 pause = int((lookup.hard_stop - now) * self.blind)
                 member.shunned_until = max(member.shunned_until, now + pause)
         if not lost and (len(out) > 1 or self.rescues < 1):
@@ -301,8 +302,9 @@
         return True
 
     def overdue_at(self, send):  # by what its work takes, too: a heavy lookup is not begun twice
-        lookup, group = send.lookup, send.instance.group
-        return send.at + max(lookup.lane.goal_time // 2, int(OVERDUE * group.usual(lookup.work)))
+        lookup, group = send.lookup, send.instance.group  # half of the time is waiting, heavy or light
+        usual = group.took * (1 + lookup.work / group.work) / 2 if group.work else lookup.work
+        return send.at + max(lookup.lane.goal_time // 2, int(OVERDUE * usual))
 
     def give_up(self, lookup, door):
         lookup.over, lane, ends = True, lookup.lane, {send.end for send in lookup.sends}
@@ -324,7 +326,7 @@
         if self.scarce > 0.05 and not whole:
             # Guards against connections that are few or slow. When machines die it keeps to what answers.
             pool = [m for m in pool if now < m.open_until] or pool
-        if not whole and len(pool) > (near := max(DRAWN, int(self.idle_time / 8 / (self.gap + 1)))):
+        if not whole and len(pool) > (near := max(NEAR, int(self.idle_time / 8 / (self.gap + 1)))):
             # Guards against a handshake for each send where many share many. It could load some unevenly.
             pool = [m for m in pool if now >= m.shunned_until][:near]
         best = least = None
@@ -557,6 +559,10 @@
         return True
 
 
+def smoothed(old, new, rate):  # the first value as it is: 0 says that none is known
+    return old + rate * (new - old) if old else new
+
+
 def recent(times, since):  # how many came after that moment; the others are dropped
     while times and times[0] <= since:
         times.popleft()
--- a/lemonlead/records.py
+++ b/lemonlead/records.py
@@ -14,18 +14,6 @@
         self.lost = 0.0  # the share of its last sends that the path lost, smoothed
         self.took = self.work = 0.0  # of its answers, smoothed: the time they took, their work
 
-    def answered(self, took, work):
-        for name, value in (("took", took), ("work", max(work, 1))):
-            old = getattr(self, name)
-            setattr(self, name, old + 0.05 * (value - old) if old else float(value))
-
-    def path_failed(self, failed):
-        self.lost += 0.2 * (failed - self.lost)
-
-    def usual(self, work):
-        """The time that so much work usually takes: half of it waiting, which light and heavy ones share."""
-        return self.took * (1 + work / self.work) / 2 if self.work else work
-
 
 class Member:
     """All that is known of one instance: its line on the list, and what its sends have shown."""
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -6,7 +6,7 @@
 from helpers import MS, NOW, Desk, balancer, judged, lane, line, lookup, sent
 
 from lemonlead import interface as at
-from lemonlead.balance import DRAWN, Balancer, sound
+from lemonlead.balance import NEAR, Balancer, sound
 from lemonlead.odds import chance
 
 STAMPED_ZONE = lane(1, at.STAMPED, group="zone", memory=4000 * MS)
@@ -589,19 +589,19 @@
 def test_many_balancers_cover_each_instance_evenly_and_each_keeps_to_few(balancers, instances):
     covered = Counter()
     for made in fleet_of(balancers, instances):
-        near = {member.id for member in made.ring[:DRAWN]}
+        near = {member.id for member in made.ring[:NEAR]}
         assert {made.choose(lookup(n), NOW).id for n in range(5)} <= near
-        covered.update(member.id for member in made.ring[:DRAWN])
-    mean = balancers * DRAWN / instances
+        covered.update(member.id for member in made.ring[:NEAR])
+    mean = balancers * NEAR / instances
     assert len(covered) == instances
     assert all(abs(count - mean) <= 3 for count in covered.values())
 
 
 def test_what_a_stretch_loses_is_made_up_from_what_follows_it():
     made = fleet_of(40, 60)[7]
-    for member in made.ring[: DRAWN - 1]:
+    for member in made.ring[: NEAR - 1]:
         member.shunned_until = NOW + SECOND
-    assert {made.choose(lookup(n), NOW) for n in range(400)} <= set(made.ring[DRAWN - 1 : 2 * DRAWN - 1])
+    assert {made.choose(lookup(n), NOW) for n in range(400)} <= set(made.ring[NEAR - 1 : 2 * NEAR - 1])
 
 
 @pytest.mark.parametrize("gap, all_of_them", [(300 * MS, False), (5 * MS, True)])
@@ -616,9 +616,9 @@
 
 def test_a_change_of_the_list_moves_a_stretch_by_little():
     made = fleet_of(192, 96)[100]
-    before = {member.id for member in made.ring[:DRAWN]}
+    before = {member.id for member in made.ring[:NEAR]}
     made.listed(NOW, [line(f"new-{n}") for n in range(8)], False, True)
-    assert len(before & {member.id for member in made.ring[:DRAWN]}) >= DRAWN - 6
+    assert len(before & {member.id for member in made.ring[:NEAR]}) >= NEAR - 6
 
 
 @pytest.mark.parametrize("gap, shed", [(100 * MS, True), (2 * SECOND, False)])
