--- /dev/null
+++ b/lemonlead/ledger/desk.py
@@ -0,0 +1,308 @@
+"""A member's desk: the replica, the state that it applies to, whoever waits for an answer, and a leader's
+duties.
+
+Pure: a process and the simulator host the very same. Inputs only update what is known; `decide(now, door)`
+is called until it returns False. The door is the host's: it sends, writes, answers, and nothing of it
+waits."""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+
+from .faults import Senseless
+from .followers import Followers
+from .records import LEADER, NOT_DONE, Base, Write
+from .replica import Replica
+from .seating import Change
+from .state import Command, State
+
+SNAPSHOT_EVERY = 4096  # entries applied since the last snapshot
+MOST_EVENTS = 20_000  # changes kept for whoever asks for what came after an index
+MOST_POLLS = 2000  # calls that wait for the next change; past it one is answered at once, with nothing
+POLL = 2_000_000_000  # the longest that one waits
+TURNED_DOWN = 1_000_000_000  # before a duty's command that the rules refused is proposed again
+
+
+class Door(Protocol):
+    """What a desk asks of its host. `send`, `write`, `send_part`, `take_part` are as in `records.Door`."""
+
+    def send(self, message) -> None: ...
+    def write(self, write: Write) -> None: ...
+    def send_part(self, peer, message, most) -> None: ...
+    def take_part(self, message) -> None: ...
+
+    def answer(self, ticket, code: int, body: dict) -> None:
+        """The one answer to a `command`: 200, 400, 409, or 503 with `outcome` and `leader`."""
+
+    def readable(self, ticket, state: State | None, leader: str) -> None:
+        """The one answer to a `read`: a state that is no older than the call, or None where it can't be
+        had."""
+
+    def polled(self, ticket, events, at: int, state: State | None, leader: str) -> None:
+        """The one answer to a `poll`. `events`: list of (index, {(part, key): record or None}) up to `at`;
+        where they are kept no more, None and the whole `state`; both None where another member, `leader`,
+        has to be asked."""
+
+    def snapshot(self, state: State, base: Base) -> None:
+        """To be brought to disk without stopping anything; then `Desk.snapshot_kept(now, base)`."""
+
+    def call(self, call: "Call") -> None:
+        """A command for another cluster; then `Desk.called(now, call, code, body)`, code 0 where none
+        came."""
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """What a leader's duty asks of another cluster. The same `data` may be sent more than once: its id
+    makes it one."""
+
+    cluster: str
+    data: bytes
+    duty: object
+
+
+class Duty(Protocol):
+    """What a leader does unasked. `next` gives a Command to propose, a Call, or None; it is asked again
+    once its last command is answered and whenever the state has changed or `wake_at` has come. It keeps
+    nothing that a new leader would miss: all that counts is in the state."""
+
+    def took_office(self, now) -> None: ...
+    def next(self, now, wall_ms, state, followers): ...
+    def called(self, now, call, code, body) -> None: ...
+    def wake_at(self) -> int: ...
+
+
+@dataclass(slots=True)
+class Poll:
+    until: int
+    after: int
+    ticket: object
+
+
+class Desk:
+    def __init__(self, told, kept, ledger, state, now, duties=()):
+        self.told, self.ledger, self.state, self.duties = told, ledger, state, list(duties)
+        self.replica = Replica(told, kept, now)
+        self.wall_ms, self.now = 0, now
+        self.events, self.earliest = deque(), state.index  # what came after `earliest` is in `events`
+        self.held = 0  # changes in `events`
+        self.polls, self.done = [], []  # calls that wait; answers that are ready: functions of the door
+        self.codes = {}  # index to (code, body) of entries applied in this turn
+        self.proposing = {}  # duty to the moment from which it may propose again; NEVER while one is out
+        self.snapshotting, self.since = None, kept.base.index
+        self.office = 0  # the term in which the duties were told that this member leads
+        self.followers = Followers()
+        self.counts = {}
+
+    # ---- inputs
+
+    def told_time(self, now, wall_ms):
+        """With each turn of the host: the clocks. `wall_ms`: Unix time."""
+        self.now, self.wall_ms = now, wall_ms
+
+    def heard(self, now, message):
+        self.replica.heard(now, message)
+
+    def command(self, now, data, ticket):
+        """A client's command; its one answer comes through the door."""
+        try:
+            command = self.ledger.read(data, outside=True)
+        except Senseless as error:
+            body = {"error": error.read()}
+            return self.done.append(lambda door: door.answer(ticket, 400, body))
+        before = self.state.answers.get(command.id)
+        if before is not None and before.moment + self.state.terms.remember > self.state.moment:
+            return self.done.append(lambda door: door.answer(ticket, before.code, before.body))
+        if self.state.full:
+            self.count("turned away: ids")
+            return self.refuse(ticket, NOT_DONE, self.replica.leader)
+        self.replica.propose(now, self.wall_ms, data, ticket)
+
+    def read(self, now, ticket):
+        self.replica.read(now, Read(ticket))
+
+    def poll(self, now, after, gateway, ticket):
+        """The changes after an index. A `gateway` (its name, or empty) that polls has obeyed all up to it;
+        it is the leader that hears it."""
+        if gateway:
+            if self.replica.role != LEADER:
+                leader = self.replica.leader
+                return self.done.append(lambda door: door.polled(ticket, None, 0, None, leader))
+            if gateway in self.state.part("followers"):
+                self.followers.polled(now, gateway, after)
+        until = now + POLL if len(self.polls) < MOST_POLLS else now
+        self.polls.append(Poll(until, after, ticket))
+
+    def written(self, now, number, state=None):
+        """`state`: that of the snapshot which this write put in force, where it did."""
+        if state is not None and state.index > self.state.index:
+            self.state, self.since = state, state.index
+            self.events.clear()
+            self.earliest, self.held = state.index, 0
+        self.replica.written(now, number)
+
+    def disk_failed(self, now, why):
+        self.replica.disk_failed(now, why)
+
+    def snapshot_kept(self, now, base):
+        self.snapshotting, self.since = None, max(self.since, base.index)
+        self.replica.compacted(now, base)
+
+    def called(self, now, call, code, body):
+        call.duty.called(now, call, code, body)
+        self.proposing.pop(call.duty, None)
+
+    def hand_over(self, now, to=""):
+        self.replica.hand_over(now, to)
+
+    # ---- decisions
+
+    def decide(self, now, door):
+        if self.done:
+            self.done.pop(0)(door)
+            return True
+        if self.replica.decide(now, Through(self, door)):
+            return True
+        if self.codes:
+            self.codes.clear()
+        return self.answer_polls(now, door) or self.take_snapshot(door) or self.do_duties(now, door)
+
+    def answer_polls(self, now, door):
+        for poll in self.polls:
+            if poll.after < self.state.index and self.news(poll.after) or poll.until <= now:
+                self.polls.remove(poll)
+                at, leader = self.state.index, self.replica.leader
+                if poll.after < self.earliest:
+                    door.polled(poll.ticket, None, at, self.state, leader)
+                else:
+                    door.polled(poll.ticket, self.news(poll.after), at, None, leader)
+                return True
+        return False
+
+    def news(self, after):
+        """Changes after an index; any answer at all where they are kept no more."""
+        if after < self.earliest:
+            return [(self.state.index, {})]
+        found = []
+        for index, changes in reversed(self.events):
+            if index <= after:
+                break
+            found.append((index, changes))
+        return found[::-1]
+
+    def take_snapshot(self, door):
+        if self.snapshotting is not None or self.state.index - self.since < SNAPSHOT_EVERY:
+            return False
+        members = self.replica.seats_at(self.state.index)
+        self.snapshotting = Base(self.state.index, self.state.term, members)
+        door.snapshot(self.state, self.snapshotting)
+        return True
+
+    def do_duties(self, now, door):
+        """Only a leader whose state holds all that was committed before its term has duties."""
+        if self.replica.role != LEADER or self.state.term != self.replica.term:
+            return False
+        if self.office != self.replica.term:
+            self.office, self.proposing = self.replica.term, {}
+            self.followers.took_office(now)
+            for duty in self.duties:
+                duty.took_office(now)
+        for duty in self.duties:
+            if self.proposing.get(duty, now) > now:
+                continue
+            wanted = duty.next(now, self.wall_ms, self.state, self.followers)
+            if isinstance(wanted, Command):
+                self.proposing[duty] = NEVER
+                data = msgspec.json.encode(wanted)
+                self.replica.propose(now, self.wall_ms, data, Proposed(duty, self.office))
+                return True
+            if wanted is not None:
+                door.call(wanted)
+                return True
+        return False
+
+    def wake_at(self):
+        moments = [self.replica.wake_at(), *(poll.until for poll in self.polls)]
+        if self.replica.role == LEADER:
+            moments += [max(duty.wake_at(), self.proposing.get(duty, 0)) for duty in self.duties]
+        return min(moments)
+
+    # ---- what the replica decides, on its way to the host
+
+    def commit(self, entries):
+        for entry in entries:
+            self.state, applied = self.ledger.apply(self.state, entry)
+            self.codes[entry.index] = applied.code, applied.body
+            if applied.changes and applied.code == 200:
+                self.events.append((entry.index, applied.changes))
+                self.held += len(applied.changes)
+        while self.held > MOST_EVENTS:
+            self.earliest, changes = self.events.popleft()
+            self.held -= len(changes)
+
+    def committed(self, ticket, index, door):
+        code, body = self.codes[index]
+        if isinstance(ticket, Proposed):
+            self.proposed(ticket, code)
+        elif not isinstance(ticket, Change):
+            door.answer(ticket, code, body)
+
+    def proposed(self, ticket, code):
+        """A duty's own command came to its end; one that the rules refused is not proposed again at once."""
+        if ticket.office == self.office:
+            if code == 200:
+                self.proposing.pop(ticket.duty, None)
+            else:
+                self.count("duties refused")
+                self.proposing[ticket.duty] = self.now + TURNED_DOWN
+
+    def refuse(self, ticket, outcome, leader):
+        if isinstance(ticket, Read):
+            self.done.append(lambda door: door.readable(ticket.ticket, None, leader))
+        elif isinstance(ticket, Proposed):
+            self.proposed(ticket, 503)
+        elif not isinstance(ticket, Change):
+            body = {"outcome": outcome, "leader": leader, "retry_ms": 200}
+            self.done.append(lambda door: door.answer(ticket, 503, body))
+
+    def count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+
+NEVER = 1 << 62
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    ticket: object
+
+
+@dataclass(frozen=True, slots=True)
+class Proposed:
+    """A duty's own command, of the term in which it was proposed."""
+
+    duty: object
+    office: int
+
+
+class Through:
+    """The replica's door: what concerns the state stops here, all else goes on to the host's."""
+
+    def __init__(self, desk, door):
+        self.desk, self.door = desk, door
+        self.send, self.write = door.send, door.write
+        self.send_part, self.take_part = door.send_part, door.take_part
+
+    def commit(self, entries):
+        self.desk.commit(entries)
+
+    def answer(self, ticket, index):
+        self.desk.committed(ticket, index, self.door)
+
+    def readable(self, ticket):
+        self.door.readable(ticket.ticket, self.desk.state, self.desk.replica.name)
+
+    def refuse(self, ticket, outcome, leader):
+        self.desk.refuse(ticket, outcome, leader)
--- /dev/null
+++ b/lemonlead/ledger/followers.py
@@ -0,0 +1,105 @@
+"""Who follows the ledger (gateways), and what of it each has acknowledged.
+
+That a gateway follows is in the log ("followers"); how far it has got and when it was last heard is the
+leader's own knowledge, gathered from the calls for events: whoever asks for what comes after an index has
+obeyed all up to it. A new leader counts each as heard at the moment it took office, and as having
+acknowledged nothing."""
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from .capacity import MOST, Name, room
+from .faults import Refused
+from .state import Command
+
+MOST_FOLLOWERS = 1000
+
+
+class Follower(Struct, frozen=True):
+    since: int = 0  # index of the entry that took it in
+
+
+class Follow(Command, frozen=True, tag="follow"):
+    """A gateway asks to be waited for, before it obeys anything of the ledger's."""
+
+    gateway: Name
+
+
+class Unfollow(Command, frozen=True, tag="unfollow"):
+    """A gateway that has ended its sends asks not to be waited for any more."""
+
+    gateway: Name
+
+
+class Forgotten(Command, frozen=True, tag="forgotten"):
+    """A leader's own: its lease and grace ran out. It may follow anew."""
+
+    gateway: Name
+    since: Annotated[int, Meta(ge=0)]
+
+
+def follow(draft, command):
+    if draft.get("followers", command.gateway) is None:
+        if len(draft.part("followers")) >= MOST_FOLLOWERS:
+            raise Refused(f"{MOST_FOLLOWERS} gateways follow already", "end some that are no longer needed")
+        room(draft, "followers", command.gateway)
+    draft.put("followers", command.gateway, Follower(draft.index))
+
+
+def unfollow(draft, command):
+    draft.drop("followers", command.gateway)
+
+
+def forgotten(draft, command):
+    """Only the very stay that ran out: one that came back meanwhile is another."""
+    follower = draft.get("followers", command.gateway)
+    if follower is not None and follower.since == command.since:
+        draft.drop("followers", command.gateway)
+
+
+KINDS = {"followers": Follower}
+RULES = {Follow: follow, Unfollow: unfollow, Forgotten: forgotten}
+INNER = (Forgotten,)
+
+
+class Followers:
+    """What a leader knows of each; soft, bounded by the followers in the log."""
+
+    def __init__(self):
+        self.office = 0  # the moment at which this member took office
+        self.heard = {}  # name: (moment last heard, index that it has obeyed up to)
+
+    def took_office(self, now):
+        self.office, self.heard = now, {}
+
+    def polled(self, now, name, after):
+        """It asked for what comes after this index."""
+        _, before = self.heard.get(name, (now, 0))
+        self.heard[name] = now, max(before, after)
+
+    def waited_for(self, now, state, index):
+        """The followers that could still act on the state before this entry: sorted names. One counts
+        until it has obeyed the entry, or its lease and grace have run out since it was last heard."""
+        patience = state.terms.lease + state.terms.grace
+        rows = state.part("followers")
+        late = []
+        for name in sorted(rows):
+            moment, after = self.heard.get(name, (self.office, 0))
+            if max(after, 0) < index and now - max(moment, self.office) < patience:
+                late.append(name)
+        return late
+
+    def next(self, now, state):
+        """The command that drops one whose lease and grace ran out, or None."""
+        patience = state.terms.lease + state.terms.grace
+        rows = state.part("followers")
+        self.heard = {name: heard for name, heard in self.heard.items() if name in rows}
+        for name in sorted(rows):
+            moment, _ = self.heard.get(name, (self.office, 0))
+            if now - max(moment, self.office) >= patience:
+                return Forgotten(gateway=name, since=rows[name].since)
+        return None
+
+
+__all__ = ["INNER", "KINDS", "MOST", "RULES", "Followers"]
