--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -3,6 +3,7 @@
 import json
 import math
 import threading
+import time
 
 from .. import interface as at
 from ..told import in_ns
@@ -43,7 +44,7 @@
         source = self.upkeep.address
         query = f"/api/targets?stream=1&index={self.version}"
         sock.sendall(f"GET {query} HTTP/1.1\r\nHost: {source[0]}:{source[1]}\r\n\r\n".encode())
-        answer = http.Answer()
+        answer, objects, begun = http.Answer(), http.Objects(), time.monotonic()
         while True:
             while (line := answer.next()) is http.MORE:
                 if not answer.buffer.fill(sock.recv_into):
@@ -52,12 +53,16 @@
                 return "unavailable"
             if line is http.END:
                 return "over"
-            if line:
-                self.told(line, source)
+            if text := objects.add(line):
+                self.told(text, source)
+            if not objects.lines:
+                begun = time.monotonic()
+            elif time.monotonic() - begun > SILENCE:
+                return "silent"  # half an object, then signs of life alone
 
-    def told(self, line, source):
+    def told(self, text, source):
         try:
-            update = json.loads(line)
+            update = json.loads(text)
             version, lines, addresses = self.read(update)
         except (ValueError, TypeError, KeyError, AttributeError, ArithmeticError, RecursionError) as error:
             raise http.Malformed(f"no list: {type(error).__name__}: {error}") from None
--- a/lemonlead/gateway/http.py
+++ b/lemonlead/gateway/http.py
@@ -1,9 +1,13 @@
-"""One answer of HTTP/1.1: a state machine that is fed bytes and gives the lines of its body."""
+"""One answer of HTTP/1.1: a state machine that is fed bytes and gives the lines of its body; and one that is fed
+such lines and gives the text of each JSON object in them, which may be indented, once it is whole."""
+
+import re
 
 from .buffer import Buffer, Malformed
 
 LONGEST_LINE, MOST_HEADERS, LONGEST_CHUNK, LONGEST_BODY_LINE = 8192, 100, 1 << 22, 1 << 22
 MORE, END = object(), object()  # no whole line yet; the body is over
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')  # whole, as JSON writes it: none goes on in the next line
 
 
 class Answer:
@@ -95,3 +99,25 @@
         if not line:
             self.state = None
         return True
+
+
+class Objects:
+    """Lines go into `add`, which gives the text of an object with its last line, and nothing before."""
+
+    def __init__(self):
+        self.lines, self.size, self.depth = [], 0, 0  # of the object that is begun; brackets that stand open
+
+    def add(self, line):
+        if not line.strip():
+            return b""
+        bare = STRING.sub(b"", line)
+        self.depth += sum(bare.count(c) for c in (b"{", b"[")) - sum(bare.count(c) for c in (b"}", b"]"))
+        self.lines.append(line)
+        self.size += len(line)
+        if self.size > LONGEST_BODY_LINE:
+            raise Malformed("an object of the body is too long")
+        if self.depth > 0:
+            return b""
+        text = b"\n".join(self.lines)
+        self.lines, self.size, self.depth = [], 0, 0
+        return text
--- a/lemonlead/standins/discovery.py
+++ b/lemonlead/standins/discovery.py
@@ -1,16 +1,19 @@
 """Discovery: a list of instances, and watches on what changes."""
 
 import json
+import threading
 
 from .server import Server
 
 
 class DiscoveryServer(Server):
-    """Tells each watch the changes after the version that it names, then those that come."""
+    """Tells each watch the changes after the version that it names, then those that come. `indent`: lists
+    come over many lines, each line a chunk of its own; `silent`: watches get no more, nor signs of life."""
 
     def __init__(self):
         super().__init__()
         self.updates, self.asked = [], []
+        self.indent, self.silent = None, threading.Event()
 
     def tell(self, *servers, full=False, version=None):
         with self.changed:
@@ -28,7 +31,10 @@
             with self.changed:
                 self.changed.wait_for(lambda done=done: len(self.updates) > done, 1.0)
                 news, done = self.updates[done:], len(self.updates)
-            for line in [json.dumps(update) for update in news] or [""]:
+            if self.silent.is_set():
+                continue
+            texts = [json.dumps(update, indent=self.indent) for update in news] or [""]
+            for line in [line for text in texts for line in text.split("\n")]:
                 sock.sendall(b"%x\r\n%s\n\r\n" % (len(line) + 1, line.encode()))
 
 
