--- a/lemonlead/gateway/http.py
+++ b/lemonlead/gateway/http.py
@@ -1,5 +1,5 @@
-"""One answer of HTTP/1.1: a state machine that is fed bytes and gives the lines of its body; and one that is fed
-such lines and gives the text of each JSON object in them, which may be indented, once it is whole."""
+"""One answer of HTTP/1.1: a state machine that is fed bytes and gives the lines of its body; and one that is
+fed such lines and gives the text of each JSON object in them, which may be indented, once it is whole."""
 
 import re
 
