--- /dev/null
+++ b/lemonlead/standins/promises.py
@@ -0,0 +1,80 @@
+"""Counts anew, from the plain records of a state alone, what is promised where; shares no code with the
+rules.
+
+`faults(parts)` takes the parts as plain dicts (as the state reads tell them) and says what does not add
+up."""
+
+SERVES = ("serving", "catching_up")
+
+
+def plain(state):
+    """The parts of a ledger's state as dicts of dicts."""
+    from msgspec import to_builtins
+
+    return {
+        name: {key: to_builtins(record) for key, record in part.items()} for name, part in state.parts.items()
+    }
+
+
+def promised(parts):
+    """Units held on each node, and in all at each site, by its reservations and gangs."""
+    by_node, by_site = {}, {}
+    for held in parts.get("reservations", {}).values():
+        for node in held["nodes"]:
+            by_node[node] = by_node.get(node, 0) + held["units"]
+        if held["site"]:
+            by_site[held["site"]] = by_site.get(held["site"], 0) + held["units"]
+    for gang in parts.get("gangs", {}).values():
+        for node in gang["nodes"]:
+            by_node[node] = by_node.get(node, 0) + gang["units"]
+    return by_node, by_site
+
+
+def usable(node):
+    return node["units"] if node["state"] in SERVES and not node["out"] else 0
+
+
+def faults(parts):
+    """What is wrong with a state by itself: sums that differ from a fresh count, names that lead nowhere."""
+    by_node, by_site = promised(parts)
+    nodes, found = parts.get("nodes", {}), []
+    sums = {}
+    for name, node in nodes.items():
+        site = sums.setdefault(node["site"], [0, 0])
+        if usable(node) or (node["state"] in SERVES and not node["out"]):
+            site[0] += node["units"]
+            site[1] += by_node.get(name, 0)
+    kept = parts.get("sites", {})
+    for name in {*sums, *by_site, *kept}:
+        units, pinned = sums.get(name, (0, 0))
+        row = kept.get(name, {"units": 0, "pinned": 0, "promised": 0})
+        if (row["units"], row["pinned"], row["promised"]) != (units, pinned, by_site.get(name, 0)):
+            found.append(f"site {name}: kept {row}, counted {units}, {pinned}, {by_site.get(name, 0)}")
+    loads = parts.get("loads", {})
+    for name in {*loads, *by_node}:
+        if name not in nodes:
+            found.append(f"something is held on node {name}, which there is not")
+        if loads.get(name, {}).get("units", 0) != by_node.get(name, 0):
+            found.append(f"node {name}: kept {loads.get(name)}, counted {by_node.get(name, 0)}")
+    for part, field in (("gangs", "gangs"), ("groups", "groups")):
+        named = {(key, node) for key, row in parts.get(part, {}).items() for node in row["nodes"]}
+        kept_names = {(key, node) for node, load in loads.items() for key in load[field]}
+        if named != kept_names:
+            found.append(f"{part} by node differ: {sorted(named ^ kept_names)[:5]}")
+    return found
+
+
+def over(parts):
+    """Sites and nodes that are promised more than they have, as texts."""
+    by_node, by_site = promised(parts)
+    nodes, found, room = parts.get("nodes", {}), [], {}
+    for name, node in nodes.items():
+        room[node["site"]] = room.get(node["site"], 0) + usable(node)
+        if usable(node):
+            room[node["site"]] -= by_node.get(name, 0)
+            if by_node.get(name, 0) > node["units"]:
+                found.append(f"node {name}: {by_node[name]} of {node['units']}")
+    for site in {*room, *by_site}:
+        if by_site.get(site, 0) > room.get(site, 0):
+            found.append(f"site {site}: {by_site.get(site, 0)} promised, {room.get(site, 0)} left")
+    return found
--- /dev/null
+++ b/tests/test_ledger_state.py
@@ -0,0 +1,278 @@
+"""The state function: what commands do, remembered ids, snapshots, seats. Counted anew by a stand-in."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lemonlead.ledger import capacity, followers, seating, state
+from lemonlead.ledger.faults import Senseless
+from lemonlead.ledger.records import COMMAND, MEMBERS, Entry, Seat
+from lemonlead.standins import promises
+
+LEDGER = state.Ledger(
+    {**capacity.RULES, **followers.RULES, **seating.RULES},
+    {**capacity.KINDS, **followers.KINDS, **seating.KINDS},
+    followers.INNER,
+)
+SECOND = 1_000_000_000
+
+
+def entry(before, data, moment=None, what=COMMAND):
+    moment = before.moment + SECOND if moment is None else moment
+    return Entry(before.index + 1, 1, what, moment, 1000 * (before.index + 1), data)
+
+
+def told(before, *, at=None, id=None, **command):
+    """The state after this command, and what it came to."""
+    id = id or f"c/{before.index}"
+    return LEDGER.apply(before, entry(before, msgspec.json.encode({"id": id, **command}), at))
+
+
+def having(*commands):
+    """A state in which these commands were done."""
+    now = state.State()
+    for command in commands:
+        now, applied = told(now, **command)
+        assert applied.code == 200, applied
+    return now
+
+
+def node(name, units=10, site="s"):
+    return {"kind": "node", "node": name, "site": site, "units": units}
+
+
+def reserve(name, units, **where):
+    return {"kind": "reserve", "reservation": name, "service": "parts", "units": units, **where}
+
+
+def gang(name, units, *nodes, ends_ms=0):
+    return {"kind": "gang", "gang": name, "nodes": list(nodes), "units": units, "ends_ms": ends_ms}
+
+
+def report(name, what):
+    return {"kind": "report", "node": name, "state": what}
+
+
+FLEET = [node("a"), node("b"), node("c", site="t")]
+
+
+@pytest.mark.parametrize(
+    "before, command, code, says",
+    [
+        ([], reserve("r", 20, site="s"), 200, ""),
+        ([], reserve("r", 21, site="s"), 409, "20 units free"),
+        ([], reserve("r", 10, nodes=["a", "b"]), 200, ""),
+        ([], reserve("r", 11, nodes=["a", "b"]), 409, "10 units free"),
+        ([], reserve("r", 1), 400, "nodes or site"),
+        ([], reserve("r", 1, site="s", nodes=["a"]), 400, "nodes or site"),
+        ([], reserve("r", 1, nodes=["a", "a"]), 400, "twice"),
+        ([], reserve("r", 1, nodes=["z"]), 409, "no node z"),
+        ([reserve("r", 15, site="s")], reserve("q", 6, nodes=["a"]), 409, "5 units free"),
+        ([reserve("r", 1, site="s")], reserve("r", 1, site="s"), 409, "stands already"),
+        ([report("b", "failed")], reserve("r", 11, site="s"), 409, "10 units free"),
+        ([report("b", "failed")], reserve("r", 1, nodes=["b"]), 409, "0 units free"),
+        ([reserve("r", 15, site="s")], node("a", 4), 409, "5 units free"),
+        ([reserve("r", 5, nodes=["a"])], node("a", 4), 409, "5 units are promised"),
+        ([], node("a", 5, site="t"), 409, "is at site s"),
+        ([], gang("g", 5, "a", "b"), 200, ""),
+        ([], gang("g", 11, "a", "b"), 409, "10 units free"),
+        ([gang("g", 1, "a")], gang("g", 1, "a"), 409, "runs already"),
+        ([report("a", "catching_up")], gang("g", 1, "a"), 409, "catching_up"),
+        ([], {"kind": "gang_end", "gang": "g"}, 409, "no gang"),
+        ([], {"kind": "free", "reservation": "r"}, 409, "no reservation"),
+        ([], {"kind": "group", "group": "q", "nodes": ["a", "b"], "quorum": 3}, 400, "quorum of 3"),
+        ([], {"kind": "group", "group": "q", "nodes": ["a", "z"], "quorum": 1}, 409, "no node z"),
+        ([], report("z", "failed"), 409, "no node z"),
+        ([], report("a", "asleep"), 400, "state"),
+        ([], {"kind": "forgotten", "gateway": "g", "since": 1}, 200, ""),
+        ([], {"kind": "remove", "member": "m1"}, 409, "no member"),
+        ([], {"kind": "add", "member": "m1", "address": "127.0.0.1:1"}, 409, "nobody waits"),
+    ],
+)
+def test_a_command_is_done_or_refused_and_then_nothing_is_changed(before, command, code, says):
+    first = having(*FLEET, *before)
+    after, applied = told(first, **command)
+    assert applied.code == code and says in str(applied.body.get("error", ""))
+    assert (after.parts == first.parts) == (code != 200 or command["kind"] == "forgotten")
+    assert not promises.faults(promises.plain(after)) and not promises.over(promises.plain(after))
+
+
+def test_a_node_that_failed_and_serves_again_is_cold_for_the_time_told():
+    now = having(*FLEET, report("a", "failed"), report("a", "serving"))
+    row = now.part("nodes")["a"]
+    assert row.warm == now.moment + now.terms.cold
+    assert capacity.bears(row, now.moment, now.terms) == 5
+    assert capacity.bears(row, row.warm, now.terms) == 10
+
+
+def test_a_cordoned_node_takes_only_gangs_that_end_in_time():
+    now = having(*FLEET)
+    draft = state.Draft(now, entry(now, b""))
+    capacity.change_node(draft, "a", cordon_ms=50_000)
+    capacity.gang(draft, capacity.GangCommand(gang="early", nodes=("a",), units=1, ends_ms=50_000))
+    for ends_ms in (0, 50_001):
+        with pytest.raises(capacity.Refused, match="to go for a drain"):
+            capacity.gang(draft, capacity.GangCommand(gang="late", nodes=("a",), units=1, ends_ms=ends_ms))
+
+
+def test_an_id_gets_its_answer_again_while_it_is_remembered_and_is_done_anew_after():
+    first = having(*FLEET)
+    second, done = told(first, id="x", **reserve("r", 20, site="s"))
+    third, again = told(second, id="x", **reserve("other", 1, site="t"))
+    assert again.repeat and again.body == done.body and third.parts == second.parts
+    late, _ = told(third, at=third.moment + third.terms.remember, **node("d"))
+    fourth, anew = told(late, id="x", **reserve("r", 20, site="s"))
+    assert not anew.repeat and anew.code == 409
+    assert fourth.answers["x"].code == 409
+
+
+def test_a_refusal_is_remembered_too():
+    first, refused = told(having(*FLEET), id="x", **reserve("r", 21, site="s"))
+    grown, _ = told(first, **node("d"))
+    _, again = told(grown, id="x", **reserve("r", 21, site="s"))
+    assert again.code == 409 and again.body == refused.body
+
+
+def test_remembered_ids_do_not_grow_with_time():
+    now = having(*FLEET)
+    for n in range(300):
+        now, _ = told(now, at=now.moment + now.terms.remember // 10, id=f"n{n}", **report("a", "serving"))
+    assert len(now.answers) <= 12 and len(now.order) == len(now.answers)
+
+
+def test_time_never_runs_back_in_the_state():
+    now = having(*FLEET)
+    after, _ = told(now, at=5, **node("d"))
+    assert after.moment == now.moment
+
+
+def test_a_name_that_was_seated_once_is_never_seated_again():
+    now = having(*FLEET)
+    for seats in ({"m1": Seat("h:1", "f1"), "m2": Seat("h:2", "f2")}, {"m1": Seat("h:1", "f1")}):
+        now, _ = LEDGER.apply(now, entry(now, msgspec.json.encode(seats), what=MEMBERS))
+    assert now.part("members")["m2"].gone
+    for member, folder, says in (
+        ("m2", "f9", "was a member once"), ("m1", "f9", "is a member"), ("m3", "f2", "another member's"),
+    ):  # fmt: skip
+        _, applied = told(now, kind="add", member=member, address="127.0.0.1:9", folder=folder)
+        assert applied.code == 409 and says in applied.body["error"]["says"]
+    now, applied = told(now, kind="add", member="m3", address="127.0.0.1:9", folder="f3")
+    assert applied.code == 200
+    _, second = told(now, kind="add", member="m4", address="127.0.0.1:9", folder="f4")
+    assert second.code == 409 and "still being seated" in second.body["error"]["says"]
+    seats = {"m1": Seat("h:1", "f1"), "m3": Seat("h:9", "f3", False)}
+    now, _ = LEDGER.apply(now, entry(now, msgspec.json.encode(seats), what=MEMBERS))
+    assert not now.part("seating")
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"{", b"[]", b'{"kind":"node"}', b'{"kind":"nothing","id":"a"}', b"\xff\xfe",
+     b'{"kind":"node","id":7}',
+     b'{"id":"a","kind":"node","node":"a","site":"s","units":1,"more":2}', b"[" * 100_000,
+     b'{"id":"a","kind":"node","node":"' + b"a" * 300_000 + b'","site":"s","units":1}',
+     b'{"id":"","kind":"gang_end","gang":"g"}', b'{"id":"a","kind":"forgotten","gateway":"g","since":1}'],
+)  # fmt: skip
+def test_what_makes_no_sense_is_turned_away_before_the_log(data):
+    with pytest.raises(Senseless):
+        LEDGER.read(data, outside=True)
+
+
+NAMES = st.sampled_from(["a", "b", "c", "d"])
+SOME = st.lists(NAMES, min_size=1, max_size=3, unique=True)
+FEW = st.integers(0, 12)
+COMMANDS = st.one_of(
+    st.builds(node, NAMES, FEW, st.sampled_from(["s", "t"])),
+    st.builds(lambda n, u, s: reserve(n, u, site=s), NAMES, FEW, st.sampled_from(["s", "t"])),
+    st.builds(lambda n, u, on: reserve(n, u, nodes=on), NAMES, FEW, SOME),
+    st.builds(lambda n: {"kind": "free", "reservation": n}, NAMES),
+    st.builds(lambda n, u, on: gang(n, u, *on), NAMES, FEW, SOME),
+    st.builds(lambda n: {"kind": "gang_end", "gang": n}, NAMES),
+    st.builds(lambda n, on: {"kind": "group", "group": n, "nodes": on, "quorum": 1}, NAMES, SOME),
+    st.builds(report, NAMES, st.sampled_from(["serving", "catching_up", "drained", "failed"])),
+    st.builds(lambda n: {"kind": "follow", "gateway": n}, NAMES),
+    st.builds(lambda n: {"kind": "unfollow", "gateway": n}, NAMES),
+)
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(COMMANDS, max_size=40), st.integers(0, 40))
+def test_any_commands_leave_sums_that_add_up_and_a_snapshot_that_goes_on_alike(commands, cut):
+    """A node that fails may leave more promised than there is; a reservation never does."""
+    now, short = state.State(), False
+    for n, command in enumerate(commands):
+        before = now
+        now, applied = told(now, **command)
+        parts = promises.plain(now)
+        assert not promises.faults(parts)
+        if command["kind"] == "report":
+            short = bool(promises.over(parts))
+        elif command["kind"] == "reserve" and applied.code == 200 and not applied.repeat:
+            assert not promises.over(parts) or short
+        if n == cut:
+            read = LEDGER.whole(b"".join(LEDGER.pieces(now)))
+            assert read == now
+            now = read
+        assert now.index == before.index + 1
+
+
+@given(st.binary(max_size=200), st.data())
+@settings(max_examples=200, deadline=None)
+def test_a_snapshot_that_was_cut_or_changed_is_refused_or_reads_as_a_state(noise, data):
+    whole = b"".join(LEDGER.pieces(having(*FLEET, reserve("r", 3, site="s"))))
+    at = data.draw(st.integers(0, len(whole)))
+    for spoilt in (whole[:at], whole[:at] + noise, noise + whole[at:]):
+        try:
+            read = LEDGER.whole(spoilt)
+        except ValueError:
+            continue
+        assert isinstance(read, state.State)
+
+
+def test_a_leader_waits_for_each_gateway_until_it_obeyed_or_its_lease_and_grace_ran_out():
+    now = having(*FLEET, {"kind": "follow", "gateway": "g1"}, {"kind": "follow", "gateway": "g2"})
+    known, patience = followers.Followers(), now.terms.lease + now.terms.grace
+    known.took_office(100)
+    assert known.waited_for(100, now, 5) == ["g1", "g2"]
+    known.polled(200, "g1", 5)
+    assert known.waited_for(300, now, 5) == ["g2"]
+    assert known.next(99 + patience, now) is None
+    assert known.waited_for(100 + patience, now, 5) == []
+    assert known.next(100 + patience, now).gateway == "g2"
+    known.took_office(150 + patience)
+    assert known.waited_for(160 + patience, now, 5) == ["g1", "g2"]
+
+
+def test_a_gateway_that_came_back_is_not_dropped_for_its_earlier_stay():
+    now = having({"kind": "follow", "gateway": "g1"}, {"kind": "follow", "gateway": "g1"})
+    after, _ = told(now, id="z", kind="forgotten", gateway="g1", since=1)
+    assert after.part("followers")["g1"].since == 2
+
+
+GREETED = seating.Greeting
+
+
+@pytest.mark.parametrize(
+    "me, greetings, what",
+    [
+        ("g1", {"g1": GREETED("g1", "f1")}, seating.WAIT),
+        ("g1", {"g1": GREETED("g1", "f1"), "g2": GREETED("g2", "f2")}, seating.FORM),
+        ("g2", {"g1": GREETED("g1", "f1"), "g2": GREETED("g2", "f2")}, seating.WAIT),
+        ("g1", {"g1": GREETED("g1", "f1"), "g2": GREETED("g2", "f2", "louis")}, seating.STAY_OUT),
+        ("g1", {"g1": GREETED("g1", "f1"), "g2": GREETED("other", "f2")}, seating.STAY_OUT),
+        ("g1", {"g1": GREETED("g1", "f1"), "g2": GREETED("g2", "f2", joins=True)}, seating.STAY_OUT),
+    ],
+)
+def test_a_cluster_forms_only_of_folders_that_are_all_empty(me, greetings, what):
+    assert seating.to_form(me, {"g1": "h:1", "g2": "h:2"}, greetings)[0] == what
+
+
+@pytest.mark.parametrize(
+    "folder, joins, name, fits",
+    [("f1", False, "g1", True), ("f9", False, "g1", False), ("f1", False, "g9", False), 
+     ("f3", True, "g3", True), ("f3", False, "g3", False), ("f9", True, "g3", False)],
+)  # fmt: skip
+def test_a_folder_takes_up_a_cluster_only_where_its_seat_names_it(folder, joins, name, fits):
+    _, base = seating.formed({"g1": Seat("h:1", "f1"), "g3": Seat("h:3", "f3")}, state.Terms())
+    assert (seating.may_join(folder, joins, {"g1": "h:1"}, name, base) == "") == fits
