--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -29,6 +29,7 @@
 # Of a client that sent what cannot be read: for so long lookups from before it are waited for; so many bytes
 # are still taken, for so long, that the error reaches it.
 PATIENCE, DREGS, DREGS_TIME = 0.5, 1 << 18, 0.2
+REST_OF_IT = 0.01  # seconds between looks for it on a connection whose reading side we have ended
 PENALTY, MOST_PENALTY = 0.1, 1.0  # seconds before more is read after a command that makes no sense; they grow
 LARGE = 8192  # bytes past which a command counts against the room for all
 WORDS = {b"Q.ASK": (4,), b"Q.DO": (4, 5)}  # how many words a lookup has
@@ -86,16 +87,23 @@
                 if (reason := self.rests()) is not None:
                     return reason
             else:
-                if not count and (self.reason is None or self.broken or not self.asks):
+                if not count and (self.reason is None or self.broken or self.done()):
                     return self.reason or "client closed"
                 if not count:  # we end it, and it had asked before it could know
                     with self.room:
-                        self.room.wait_for(lambda: not self.asks or self.broken)
+                        self.room.wait_for(lambda: not (self.asks or self.unsent) or self.broken)
+                    if not self.reader.empty():
+                        time.sleep(REST_OF_IT)  # the other half of a command is on its way
             while (words := self.reader.next()) is not resp.MORE:
                 self.part_since = None
                 self.take(words)
             self.weigh()
 
+    def done(self):
+        """Whether nothing is left to answer: what it asked by halves is no lookup yet, but will be."""
+        with self.room:
+            return not (self.asks or self.unsent) and self.reader.empty()
+
     def rests(self):
         """Why it is ended, if it has stood between lookups, or without the first, for too long. Clients may
         have a bound of their own, and those that hold theirs for good keep out all others, long before there
