--- a/lemonlead/ledger/capacity.py
+++ b/lemonlead/ledger/capacity.py
@@ -62,7 +62,7 @@
     """Sums over its nodes that are up."""
 
     units: int = 0
-    pinned: int = 0  # reservations by node, and gangs
+    pinned: int = 0  # reservations by node, and gangs; also those of nodes that a drain has out
     promised: int = 0  # reservations by site
 
 
@@ -123,13 +123,11 @@
 
 
 def count(draft, node, load, sign):
-    if up(node):
+    counts = up(node)
+    if counts or (node.out and node.state != FAILED):  # what a drained node holds, others are to bear
         sums = draft.get("sites", node.site) or Site()
-        draft.put(
-            "sites",
-            node.site,
-            replace(sums, units=sums.units + sign * node.units, pinned=sums.pinned + sign * load.units),
-        )
+        units = sums.units + sign * node.units if counts else sums.units
+        draft.put("sites", node.site, replace(sums, units=units, pinned=sums.pinned + sign * load.units))
 
 
 def pin(draft, name, units, **fields):
@@ -208,6 +206,7 @@
 class Report(Command, frozen=True, tag="report"):
     node: Name
     state: Annotated[str, Meta(pattern="^(serving|catching_up|drained|failed)$")]
+    seen: Annotated[int, Meta(ge=0)] = 0  # the node has obeyed all up to this entry; 0: it does not say
 
 
 def node(draft, command):
@@ -309,7 +308,7 @@
             raise Refused(
                 f"node {name} is {on.state if not on.out else 'out for drain ' + on.out}", "name other nodes"
             )
-        if on.cordon_ms and not 0 < command.ends_ms <= on.cordon_ms:
+        if on.cordon_ms and not draft.wall_ms < command.ends_ms <= on.cordon_ms:
             raise Refused(
                 f"node {name} is to go for a drain by {on.cordon_ms}",
                 "name other nodes, an end before that, or stop the drain",
--- a/lemonlead/ledger/state.py
+++ b/lemonlead/ledger/state.py
@@ -39,6 +39,7 @@
     grace: int = 1_000_000_000  # and this much more, for what it sent last
     cold: int = 5_000_000_000  # for how long a node that came back is cold
     cold_share: float = 0.5  # of its units that a cold node bears
+    site_share: float = 0.25  # of a site's nodes that may be away at once for drains; one always may
 
 
 class Answered(Struct, frozen=True, array_like=True):
