--- a/lemonlead/ledger/desk.py
+++ b/lemonlead/ledger/desk.py
@@ -196,7 +196,7 @@
         if self.snapshotting is not None or self.state.index - self.since < SNAPSHOT_EVERY:
             return False
         members = self.replica.seats_at(self.state.index)
-        self.snapshotting = Base(self.state.index, self.state.term, members)
+        self.snapshotting = Base(self.state.index, self.state.term, members, self.state.moment)
         door.snapshot(self.state, self.snapshotting)
         return True
 
--- a/lemonlead/ledger/records.py
+++ b/lemonlead/ledger/records.py
@@ -42,12 +42,13 @@
 
 
 class Base(Struct, frozen=True, array_like=True):
-    """What a snapshot stands for: all entries up to `index`, the last of them of `term`, the members as of
-    then."""
+    """What a snapshot stands for: all entries up to `index`, the last of them of `term`, the members and the
+    ledger's time as of then."""
 
     index: int = 0
     term: int = 0
     members: dict[str, Seat] = {}
+    moment: int = 0  # from which a new leader goes on where its log holds nothing past the snapshot
 
 
 # ---- messages between members
