--- a/lemonlead/ledger/desk.py
+++ b/lemonlead/ledger/desk.py
@@ -82,10 +82,10 @@
 
 
 class Desk:
-    def __init__(self, told, kept, ledger, state, now, duties=()):
+    def __init__(self, told, kept, ledger, state, now, duties=(), snapshot_every=SNAPSHOT_EVERY):
         self.told, self.ledger, self.state, self.duties = told, ledger, state, list(duties)
         self.replica = Replica(told, kept, now)
-        self.wall_ms, self.now = 0, now
+        self.wall_ms, self.now, self.snapshot_every = 0, now, snapshot_every
         self.events, self.earliest = deque(), state.index  # what came after `earliest` is in `events`
         self.held = 0  # changes in `events`
         self.polls, self.done = [], []  # calls that wait; answers that are ready: functions of the door
@@ -193,7 +193,7 @@
         return found[::-1]
 
     def take_snapshot(self, door):
-        if self.snapshotting is not None or self.state.index - self.since < SNAPSHOT_EVERY:
+        if self.snapshotting is not None or self.state.index - self.since < self.snapshot_every:
             return False
         members = self.replica.seats_at(self.state.index)
         self.snapshotting = Base(self.state.index, self.state.term, members, self.state.moment)
--- /dev/null
+++ b/tests/test_simulated.py
@@ -0,0 +1,194 @@
+"""The simulated world: its network, disks and judges by themselves, then many members in it."""
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lemonlead.ledger.records import Append, Base, Entry, Write
+from lemonlead.standins.simulated.disks import Disk, Held, Work
+from lemonlead.standins.simulated.history import NEVER, UNKNOWN, Seen, Undecided, first_wrong
+from lemonlead.standins.simulated.network import Network, garble, packed, unpacked
+
+
+class Later:
+    """Keeps what is to be called; calls it by order."""
+
+    def __init__(self):
+        self.calls = []
+
+    def __call__(self, delay, function, *args):
+        self.calls.append((function, args))
+
+    def run(self):
+        while self.calls:
+            function, args = self.calls.pop(0)
+            function(*args)
+
+
+def entry(index, term=1):
+    return Entry(index, term, 1, 0, 0, b"%d" % index)
+
+
+# ---- linearizability
+
+
+def register(state, what):
+    """A register: ("write", value) or ("read",)."""
+    return (what[1], "ok") if what[0] == "write" else (state, state)
+
+
+@pytest.mark.parametrize(
+    "calls, fits",
+    [
+        ([Seen(("write", 1), "ok", 0, 1), Seen(("read",), 1, 2, 3)], True),
+        ([Seen(("write", 1), "ok", 0, 1), Seen(("read",), 0, 2, 3)], False),
+        ([Seen(("write", 1), "ok", 0, 4), Seen(("read",), 0, 2, 3)], True),
+        ([Seen(("write", 1), "ok", 0, 9), Seen(("read",), 1, 2, 3), Seen(("read",), 0, 4, 5)], False),
+        ([Seen(("write", 1), UNKNOWN, 0), Seen(("read",), 0, 2, 3), Seen(("read",), 1, 4, 5)], True),
+        ([Seen(("write", 1), UNKNOWN, 0), Seen(("read",), 1, 2, 3), Seen(("read",), 0, 4, 5)], False),
+        ([Seen(("write", 1), UNKNOWN, 4), Seen(("read",), 1, 2, 3)], False),
+        ([Seen(("read",), 0, 1, 2), Seen(("read",), 0, 1, NEVER)], True),
+    ],
+)
+def test_a_history_fits_or_not(calls, fits):
+    assert (first_wrong(calls, 0, register) is None) == fits
+
+
+def by_hand(calls, start, step):
+    """Whether some order fits, by trying all: of the known calls with any of the unknown ones."""
+    known = [call for call in calls if call.result != UNKNOWN]
+    unknown = [call for call in calls if call.result == UNKNOWN]
+    for count in range(len(unknown) + 1):
+        for some in itertools.combinations(unknown, count):
+            for order in itertools.permutations([*known, *some]):
+                state = start
+                for at, call in enumerate(order):
+                    state, result = step(state, call.what)
+                    if call.result not in (UNKNOWN, result):
+                        break
+                    if any(later.answered < call.asked for later in order[at + 1 :]):
+                        break
+                else:
+                    return True
+    return False
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([("write", 1), ("write", 2), ("read",)]),
+            st.sampled_from([0, 1, 2, UNKNOWN]),
+            st.integers(0, 8),
+            st.integers(0, 5),
+        ),
+        max_size=5,
+    )
+)
+def test_the_search_agrees_with_trying_all_orders(drawn):
+    calls = [
+        Seen(what, UNKNOWN, asked, NEVER)
+        if seen == UNKNOWN
+        else Seen(what, "ok" if what[0] == "write" else seen, asked, asked + took)
+        for what, seen, asked, took in drawn
+    ]
+    assert (first_wrong(calls, 0, register) is None) == by_hand(calls, 0, register)
+
+
+def test_a_history_that_is_too_long_is_undecided():
+    calls = [Seen(("write", value), UNKNOWN, 0) for value in range(12)] + [Seen(("read",), -1, 1, 2)]
+    with pytest.raises(Undecided):
+        first_wrong(calls, 0, register, most=500)
+
+
+# ---- network
+
+
+def test_whatever_is_garbled_is_dropped():
+    chance = random.Random(1)
+    message = Append("c", "g1", "f1", "g2", "f2", 3, 4, 2, [entry(5), entry(6)], 4, 9)
+    frame = packed(message)
+    assert unpacked(frame) == message
+    for _ in range(500):
+        assert unpacked(garble(frame, chance)) in (None, message)
+    assert unpacked(garble(frame, chance)) is None
+
+
+def test_lines_lose_double_and_are_cut():
+    later, got = Later(), []
+    network = Network(1, later)
+    network.weather.twice = 1.0
+    network.carry("a", "b", got.append, 1)
+    later.run()
+    assert got == [1, 1]
+    network.cut([("a", "b")])
+    network.carry("a", "b", got.append, 2)
+    network.carry("b", "a", got.append, 3)
+    later.run()
+    assert got == [1, 1, 3, 3]
+    network.carry("b", "a", got.append, 4)
+    network.cut([("b", "a")])
+    later.run()
+    assert got == [1, 1, 3, 3] and network.counts["lost"] == 4
+    network.heal()
+    network.carry("a", "b", got.append, 5)
+    later.run()
+    assert got[-1] == 5 and network.under_way == 0
+
+
+# ---- disks
+
+
+def test_works_are_synced_in_order_those_that_wait_together():
+    later, told = Later(), []
+    disk = Disk("f", 1, later)
+    for number in range(1, 4):
+        write = Write(number, 1, "", None, [entry(number)])
+        disk.submit(Work(write, done=lambda number=number: told.append((number, disk.held.last))))
+    assert disk.held.last == 0 and disk.ahead.last == 3
+    later.run()
+    assert told == [(1, 1), (2, 3), (3, 3)]
+
+
+def test_a_crash_keeps_the_first_few_and_tells_nobody():
+    kept = set()
+    for seed in range(40):
+        later, told = Later(), []
+        disk = Disk("f", seed, later)
+        for number in range(1, 4):
+            write = Write(number, number, "", None, [entry(number, number)])
+            disk.submit(Work(write, done=lambda told=told: told.append(1)))
+        disk.crash()
+        later.run()
+        assert told == [] and disk.held.last == disk.held.term == disk.ahead.last
+        kept.add(disk.held.last)
+    assert kept == {0, 1, 2, 3}
+
+
+def test_a_disk_that_fails_tells_once_and_syncs_nothing_more():
+    later, told = Later(), []
+    disk = Disk("f", 1, later)
+    disk.failing = told.append
+    disk.broken = "full"
+    disk.submit(Work(Write(1, 1, "", None, [entry(1)]), done=lambda: told.append("synced")))
+    disk.submit(Work(Write(2, 1, "", None, [entry(2)]), done=lambda: told.append("synced")))
+    later.run()
+    assert told == ["full"] and disk.held.last == 0
+
+
+def test_a_snapshot_takes_the_place_of_what_it_covers():
+    held = Held()
+    held.take(Work(Write(1, 1, "", None, [entry(1), entry(2), entry(3)])))
+    held.take(Work(base=Base(2, 1), snapshot=b"two"))
+    assert held.snapshot == b"two" and [one.index for one in held.entries] == [3] and held.entry(2) is None
+    held.take(Work(base=Base(1, 1), snapshot=b"one"))
+    assert held.snapshot == b"two"
+    held.take(Work(Write(2, 2, "", 3, [entry(3, 2)])))
+    assert held.entry(3).term == 2
+    held.take(Work(Write(3, 2, "", base=Base(9, 2)), snapshot=b"nine"))
+    assert held.last == 9 and held.entries == []
+    with pytest.raises(ValueError):
+        held.take(Work(Write(4, 2, "", None, [entry(11)])))
