--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -74,7 +74,8 @@
         self.times, self.lows, self.tested = {}, {}, {}
         self.due, self.notes, self.wakes, self.turns = deque(), deque(), [], count()  # lookups, lines, timers
         # The more start together, the longer they spread their first call for the list.
-        first = start.now + int(self.rng.random() * min(25 * MS * (balancers - 1), 2000 * MS))
+        spread = min(25 * MS * (balancers - 1), 2000 * MS, start.ask_within // 2 or 2000 * MS)
+        first = start.now + int(self.rng.random() * spread)
         self.next_tick, self.ask_at = start.now, first if start.ask_for_list else None
         self.pair_at, self.pair = None, {}  # the pair now open: its start, its outcomes by (on trial, lane)
         self.scarce, self.idle_time = 0.0, start.idle_time - start.step  # share of sends left unconnected
--- a/lemonlead/gateway/__main__.py
+++ b/lemonlead/gateway/__main__.py
@@ -18,6 +18,7 @@
 from .releases import Releases
 
 STACK = 256 * 1024
+FIRST_LIST = 2.0  # seconds for which the first list is waited for at most, where lists are pushed
 LINGER = 0.5  # seconds after SIGTERM in which connections still come
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
 
@@ -59,11 +60,15 @@
         if (reason := gate.sorting.load(places.now())) is not None:
             print(f"lemonlead.gateway: the rules cannot be used: {reason}", file=sys.stderr)
             return 2
-    gate.open()
-    threads = [gate.run, desk.keep_time, discovery.run]
+    threads = [desk.keep_time, discovery.run]
     threads += [releases.hear, releases.poll] if place.platform else []
     for thread in threads:
         threading.Thread(target=thread, daemon=True).start()
+    if place.pushed:  # no lookup goes by the list of before our start, unless discovery cannot be reached
+        discovery.ask()
+        discovery.tried.wait(FIRST_LIST)
+    gate.open()
+    threading.Thread(target=gate.run, daemon=True).start()
     host, port = gate.listener.getsockname()
     log.info("serving", listen=host, port=port, instances=len(known[1]))
     while (asked := signal.sigwait(SIGNALS)) in (signal.SIGUSR1, signal.SIGHUP):
--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -9,7 +9,7 @@
 from ..told import in_ns
 from . import http
 from .place import address
-from .upkeep import Upkeep
+from .upkeep import CROWDED, Upkeep
 
 SILENCE = 4.5  # seconds without a line after which a watch is dead; one comes every 2 s
 
@@ -19,7 +19,10 @@
         self.place, self.desk, self.log, self.counters = place, desk, log, counters
         self.wanted = threading.Event()
         self.version = -1
-        self.upkeep = Upkeep(place.discovery, place.start.seed, 0.05, 1.0)  # on top of the balancer's own
+        # On top of the balancer's own pause. A call that failed holds it to its list for four times this.
+        crowded = min(place.start.ask_within / 1e9 or CROWDED, CROWDED)
+        self.upkeep = Upkeep(place.discovery, place.start.seed, 0.05, 1.0, crowded)
+        self.tried = threading.Event()  # a list has come, or the first watch has ended
         self.source = place.discovery  # whose list was last taken
 
     def ask(self):
@@ -36,6 +39,7 @@
             reason, detail = self.upkeep.run(self.watch)
             self.counters.add(f"watches ended: {reason}")
             self.log.info("watch ended", reason=reason, detail=detail, version=self.version)
+            self.tried.set()
             self.upkeep.wait(crowded=reason == "unavailable")
             self.desk.tell(self.desk.balancer.list_failed)
 
@@ -104,6 +108,8 @@
             self.desk.instances.listed(id, where, started)
         self.counters.add("lists told")
         self.desk.balancer.listed(now, lines, whole, fresh)
+        if fresh:
+            self.tried.set()
 
 
 def number(value, otherwise):
--- a/lemonlead/gateway/place.py
+++ b/lemonlead/gateway/place.py
@@ -39,6 +39,7 @@
     kinds: dict
     known: dict  # the list of instances as last had
     news: tuple | None  # the state of the newest build
+    pushed: bool  # what discovery has counts as told from the first moment on
 
 
 def address(text):
@@ -92,6 +93,7 @@
             zones=numbered(told.get("Areas", [])), kinds=numbered(told.get("Skus", [])),
             known=config.get("known") or {"version": 0, "full": True, "servers": []},
             news=platform.stage([news[name] for name in names]) if news else None,
+            pushed=told.get("Discovery") != "ask",
         )
 
 
--- a/lemonlead/gateway/upkeep.py
+++ b/lemonlead/gateway/upkeep.py
@@ -14,9 +14,10 @@
     """One such connection at a time. The pause before the next grows with each failure and is spread by
     chance; a new address ends both the connection and the pause."""
 
-    def __init__(self, address, seed, shortest, longest):
+    def __init__(self, address, seed, shortest, longest, crowded=CROWDED):
         self.address, self.random = address, random.Random(seed)
         self.shortest, self.longest, self.length = shortest, longest, shortest
+        self.crowded = max(crowded, longest)
         self.room = threading.Condition()  # guards the address, the socket, and whether it is to move
         self.sock, self.moving = None, False
 
@@ -70,4 +71,4 @@
             self.length = max(self.length, self.longest)
         with self.room:
             self.room.wait_for(lambda: self.moving, self.length * self.random.uniform(0.5, 1.0))
-        self.length = min(2 * self.length, CROWDED if crowded else self.longest)
+        self.length = min(2 * self.length, self.crowded if crowded else self.longest)
--- a/lemonlead/interface.py
+++ b/lemonlead/interface.py
@@ -76,6 +76,7 @@
     over_share_worth: float = 1.0
     release: Release = field(default_factory=Release)
     ask_for_list: bool = False
+    ask_within: int = 0  # without a watch or call for so long it is held to all that was listed; 0: not told
     sends_cap: int = 1
     may_withdraw: bool = False
     may_duplicate: bool = False
--- a/lemonlead/standins/fleet.py
+++ b/lemonlead/standins/fleet.py
@@ -73,10 +73,13 @@
 
 
 @contextlib.contextmanager
-def gateway(tmp_path, *servers, settings=None, limits=None, entries=None, rules=None, extra=None):
+def gateway(
+    tmp_path, *servers, settings=None, limits=None, entries=None, rules=None, extra=None, source=None
+):
     """A gateway that runs among these instances; all of it ends with the block. `rules`: the text of a set of
-    rules to switch on, `extra` further settings of rules, as `{"shadow": text, "shadow_share": share}`."""
-    discovery, platform = DiscoveryServer().start(), PlatformServer().start()
+    rules to switch on, `extra` further settings of rules, as `{"shadow": text, "shadow_share": share}`.
+    `source`: the discovery that it starts with."""
+    discovery, platform = source or DiscoveryServer().start(), PlatformServer().start()
     known = entries or [entry(f"i{n}", server) for n, server in enumerate(servers)]
     config = {
         "name": "g0",
--- a/lemonlead/told.py
+++ b/lemonlead/told.py
@@ -46,6 +46,7 @@
         may_duplicate=bool(limits.get("MayDuplicate")), may_probe=bool(limits.get("Probes")),
         hold_off_cap=hold_off, connect_time=in_ns(limits.get("ConnectTimeout", 0)),
         idle_time=in_ns(limits.get("IdleClose", 0)),
+        ask_within=in_ns(rules.get("AskWithin", 0)),
         drain_grace=in_ns(rules.get("DrainGrace", 0)), cold_time=in_ns(rules.get("Cold", 0)),
         cold_share=rules.get("ColdFrom", 1.0), cold_multiple=rules.get("OverloadFactor", 1.0),
         cold_window=in_ns(rules.get("Fall", 0)), report_fields=told.get("Report", {}).get("Fields", []),
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -11,16 +11,23 @@
 from types import SimpleNamespace
 
 import pytest
-from helpers import lookup
-from lemonlead.gateway import resp
+from helpers import MS, NOW, Desk, balancer, line, lookup
+from lemonlead import interface as at
+from lemonlead.balance import Balancer
+from lemonlead.gateway import discovery as drivers
+from lemonlead.gateway import resp, upkeep
 from lemonlead.gateway.clients import Client
+from lemonlead.gateway.counters import Counters
 from lemonlead.gateway.crew import Crew
+from lemonlead.gateway.discovery import Discovery
 from lemonlead.gateway.http import Objects
+from lemonlead.gateway.place import address
 from lemonlead.standins import clients
-from lemonlead.standins.discovery import entry
-from lemonlead.standins.fleet import gateway
+from lemonlead.standins.discovery import DiscoveryServer, entry
+from lemonlead.standins.fleet import SETTINGS, gateway
 from lemonlead.standins.instances import InstanceServer, gives
-from lemonlead.standins.server import until
+from lemonlead.standins.server import Server, until
+from lemonlead.told import started
 
 # ---- what is told, and when
 
@@ -46,6 +53,143 @@
         assert "reason=malformed" not in ran.log()
 
 
+def test_where_lists_are_pushed_no_lookup_goes_by_the_list_of_before_the_start(tmp_path):
+    old = InstanceServer().start()
+    new = InstanceServer(lambda words: gives(b"new")).start()
+    discovery = DiscoveryServer().start()
+    discovery.tell(entry("i0", old, "draining"), entry("i1", new), version=5)
+    settings = {"Discovery": "push", "Balancers": 200}  # so many spread their first call over 2 s
+    with gateway(tmp_path, old, new, entries=[entry("i0", old)], settings=settings, source=discovery) as ran:
+        assert [ran.client().ask().read() for _ in range(5)] == 5 * [b"new"] and not old.got
+
+
+class Quiet:
+    def info(self, *_, **more):
+        pass
+
+
+class Full(Server):
+    """Discovery with too many callers: each waits, then gets 503."""
+
+    calls = 0
+
+    def serve(self, sock):
+        sock.recv(4096)
+        self.calls += 1
+        sock.sendall(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+
+
+def driver(where="127.0.0.1:1", within=10_000):
+    """The driver of discovery at this address, where so many milliseconds are told for asking; what it tells
+    of lists and of failures."""
+    obligations = {**SETTINGS["Obligations"], "AskWithin": within}
+    start = started({**SETTINGS, "Obligations": obligations}, 7, NOW)
+    place = SimpleNamespace(start=start, discovery=address(where), zones={}, kinds={})
+    lists, failures = [], []
+    desk = SimpleNamespace(instances=SimpleNamespace(pools={}, listed=lambda *_: None))
+    desk.balancer = SimpleNamespace(
+        listed=lambda now, lines, whole, fresh: lists.append([row.id for row in lines]),
+        list_failed=failures.append,
+    )
+    desk.tell = lambda happened, *values: happened(NOW, *values)
+    return Discovery(place, desk, Quiet(), Counters()), lists, failures
+
+
+def watching(where):
+    """The same at work, in a thread of its own."""
+    made, lists, failures = driver(where)
+    threading.Thread(target=made.run, daemon=True).start()
+    made.ask()
+    return made, lists, failures
+
+
+def test_a_watch_that_fell_silent_is_opened_anew_and_tells_what_was_missed(monkeypatch):
+    monkeypatch.setattr(drivers, "SILENCE", 0.2)
+    server = DiscoveryServer().start()
+    made, lists, failures = watching(server.address)
+    server.tell(entry("a", server), full=True, version=2)
+    until(lambda: lists == [["a"]])
+    server.silent.set()
+    server.tell(entry("b", server), version=3)  # missed: it reaches no watch
+    until(lambda: failures)
+    assert made.counters.read() == {"lists told": 1, "watches ended: silent": 1}
+    server.silent.clear()
+    made.ask()  # as the balancer does in its time
+    until(lambda: lists == [["a"], ["b"]])
+    assert server.asked[-1] == "/api/targets?stream=1&index=2"
+    server.close()
+
+
+def test_half_a_list_and_then_signs_of_life_alone_count_as_silence(monkeypatch):
+    monkeypatch.setattr(drivers, "SILENCE", 0.2)
+
+    class Half(Server):
+        def serve(self, sock):
+            sock.recv(4096)
+            sock.sendall(b'HTTP/1.1 200 OK\r\n\r\n{"version": 2,\n')
+            while not gone.wait(0.02):
+                sock.sendall(b"\n")
+
+    gone, server = threading.Event(), Half().start()
+    made, lists, failures = watching(server.address)
+    until(lambda: failures)
+    assert made.counters.read() == {"watches ended: silent": 1} and not lists
+    gone.set()
+    server.close()
+
+
+def pauses(kept, crowded, count=12):
+    """The pauses, in seconds, after so many failures in a row, each as long as chance may make it."""
+    kept.random.uniform = lambda least, most: most
+    waited = []
+    kept.room.wait_for = lambda moving, seconds: waited.append(seconds)
+    for _ in range(count):
+        kept.wait(crowded)
+    return waited
+
+
+def asks_anew():
+    """Seconds until a balancer that was told of a failure asks for the list at the latest."""
+    latest = 0
+    for seed in range(100):
+        made, desk = balancer([line(1)], ask_for_list=True, seed=seed), Desk()
+        made.listed(NOW, [], False, True)
+        made.list_failed(NOW)
+        latest = max(latest, made.ask_at - NOW)
+        assert ("watch",) in desk.pull(made, made.ask_at)
+    return latest / 1e9
+
+
+def test_what_a_silent_watch_missed_is_asked_for_within_six_seconds():
+    made, *_ = driver()
+    made.upkeep.worked()  # it had told a list before
+    assert drivers.SILENCE + pauses(made.upkeep, False)[0] + asks_anew() < 5.7  # the rest is for the way
+
+
+@pytest.mark.parametrize("within", [1000, 2000, 10_000])
+def test_a_list_in_hand_binds_no_longer_than_told_before_it_is_asked_for(within):
+    """Milliseconds told for asking: four times that from a call that failed, after two seconds at most; and
+    from the start until the first call."""
+    made, *_ = driver(within=within)
+    longest = max(pauses(made.upkeep, True) + pauses(made.upkeep, False))
+    assert 2.0 + longest + asks_anew() <= 4 * within / 1e3
+    rules = dict(now=NOW, balancers=200, ask_for_list=True, ask_within=within * MS)
+    firsts = [Balancer(at.Start(seed=seed, **rules)).ask_at for seed in range(200)]
+    assert max(firsts) <= NOW + within * MS // 2 and len(set(firsts)) > 100
+
+
+def test_after_sighup_the_new_address_is_asked_at_once_though_the_old_one_had_too_many_callers():
+    full, server = Full().start(), DiscoveryServer().start()
+    made, lists, _ = watching(full.address)
+    server.tell(entry("a", server), full=True, version=2)
+    made.upkeep.length = upkeep.CROWDED
+    until(lambda: full.calls)
+    made.move(address(server.address))
+    until(lambda: lists == [["a"]], 4)  # what is told there counts from then on
+    for one in (full, server):
+        one.close()
+
+
 # ---- after SIGTERM
 
 
