--- a/lemonlead/ledger/records.py
+++ b/lemonlead/ledger/records.py
@@ -200,6 +200,6 @@
         `last`, and send."""
 
     def take_part(self, message: Part) -> None:
-        """Bytes of a snapshot under way, in order from offset 0; a new base drops what was begun. Once
+        """Bytes of a snapshot under way, in order from offset 0, which drops what was begun before. Once
         `last` has come and a Write with that `base` follows, the host loads it as the state, in the order
         of `commit`."""
