--- /dev/null
+++ b/lemonlead/drains/duty.py
@@ -0,0 +1,353 @@
+"""What a leader proposes for drains, one command at a time (a `ledger.desk.Duty`). All that counts is in
+the state; what is kept here (the plan, what was looked at last) a new leader makes anew."""
+
+from ..ledger.capacity import CATCHING_UP, FAILED, SERVING, up
+from . import ground
+from .faults import (
+    GangOverran,
+    GangPastDeadline,
+    GangWithoutEnd,
+    GroupShort,
+    NotBack,
+    NotDown,
+    SiteShareTaken,
+    SiteShort,
+    StaysCatchingUp,
+    StaysOut,
+)
+from .feasible import named
+from .ground import NO_LOAD
+from .planner import Asked, Plan
+from .rules import (
+    CLEAR,
+    DOWN,
+    GIVEN,
+    MOST_NAMED,
+    MOST_PERMITS,
+    MOST_TOLD,
+    RECALLED,
+    RETURNING,
+    RUNNING,
+    DrainCordon,
+    DrainGivenUp,
+    DrainTold,
+    PermitBack,
+    PermitClear,
+    PermitCommand,
+    stuck_by,
+)
+
+NEVER = 1 << 62
+LATE = 600_000_000_000  # a node that takes longer for a phase is told of, and the next wave goes without it
+LOOK = 200_000_000  # between looks while only promises change
+ASK = 20_000_000  # between looks whether each gateway has acknowledged
+HOLD_MS = 3_600_000  # for so long past its cordon a late drain keeps gangs off its nodes
+OPEN_MS = 900_000  # then gangs that end within this may start, and the hold begins anew
+GIVE_UP = 24 * 3600 * 1_000_000_000  # without a node done, past the deadline: the drain ends unfinished
+MOST_TRIED = 200  # nodes tried one by one where a wave does not fit as a whole
+MOST_WAVES = 3  # waves looked at for one that may go now
+TELL = 1_000_000_000  # between what drains' records tell: a plan for telling alone is not made at each event
+WATCHED = ("nodes", "permits", "wants", "drains", "groups", "terms")  # looked at as soon as they change
+
+
+class Drains:
+    def __init__(self, late=LATE):
+        self.late = late
+        self.took_office(0)
+
+    def took_office(self, now):
+        self.seen, self.look, self.ask, self.wake = None, 0, 0, NEVER
+        self.index, self.at = -1, now  # the last entry seen, and when
+        self.plan, self.planned, self.rest, self.tell = Plan(), None, (), 0
+
+    def called(self, now, call, code, body):
+        raise AssertionError("drains call nobody")
+
+    def wake_at(self):
+        return self.wake
+
+    def next(self, now, wall_ms, state, followers):
+        permits = state.part("permits")
+        running = {name: one for name, one in state.part("drains").items() if one.phase == RUNNING}
+        if not running and not permits:
+            self.wake = NEVER
+            return None
+        if state.index != self.index:
+            self.index, self.at = state.index, now
+        moment = state.moment + now - self.at  # the ledger's time, or a little less
+        found = self.clear(now, state, followers)
+        watched = tuple(state.part(name) for name in WATCHED)
+        same = self.seen is not None and all(a is b for a, b in zip(watched, self.seen, strict=True))
+        if found is None and not (same and now < self.look):
+            found = self.looked(now, wall_ms, moment, state, running)
+            if found is None:
+                self.seen, self.look = watched, now + LOOK
+        given = any(held.phase == GIVEN for held in permits.values())
+        self.wake = now + ASK if given else max(self.look, now + 1)
+        return found
+
+    def clear(self, now, state, followers):
+        """A permit that every gateway has acknowledged, or whose gateways ran out."""
+        if now < self.ask:
+            return None
+        given = {}
+        for name, held in state.part("permits").items():
+            if held.phase == GIVEN:
+                given.setdefault(held.index, []).append(name)
+        for index, names in sorted(given.items()):
+            if not followers.waited_for(now, state, index):
+                return PermitClear(nodes=tuple(sorted(names)[:MOST_PERMITS]), index=index)
+        self.ask = now + ASK
+        return None
+
+    def looked(self, now, wall_ms, moment, state, running):
+        gone = take_back(state, moment)
+        if gone:
+            return PermitBack(nodes=tuple(sorted(gone)[:MOST_PERMITS]))
+        down = own_down(state)
+        if down:
+            return PermitCommand(nodes=tuple(sorted(down)[:MOST_PERMITS]))
+        wave = self.wave(moment, state, running)
+        if wave:
+            return PermitCommand(nodes=wave)
+        return self.about(now, wall_ms, moment, state, running)
+
+    # ---- waves
+
+    def is_late(self, held, moment):
+        return held.phase != GIVEN and moment - held.moment >= self.late
+
+    def wave(self, moment, state, running):
+        """The next nodes to go, once those of the last wave are back, late or failed."""
+        nodes, permits = state.part("nodes"), state.part("permits")
+        busy = any(
+            held.phase != RECALLED and nodes[name].state != FAILED and not self.is_late(held, moment)
+            for name, held in permits.items()
+        )
+        if self.rest:  # the other entries of a wave that is too long for one
+            rest, self.rest = self.rest[:MOST_PERMITS], self.rest[MOST_PERMITS:]
+            if all(may_go(state, name) for name in rest) and not ground.objections(state, moment, rest):
+                return rest
+        if busy:
+            return ()
+        self.replan(moment, state, running)
+        found = ground.sums(state, moment) if self.plan.waves else {}
+        for wave in self.plan.waves[:MOST_WAVES]:
+            names = tuple(sorted(wave))
+            faults = ground.objections(state, moment, names, found)
+            if not faults:
+                self.rest = names[MOST_PERMITS:]
+                return names[:MOST_PERMITS]
+            if all(isinstance(fault, SiteShort) for fault in faults) and cold(state, names, found):
+                return ()  # it fits once what came back is warm
+            names = fitting(state, moment, names, found)
+            if names:
+                return names
+        return ()
+
+    def replan(self, moment, state, running):
+        parts = tuple(state.part(name) for name in (*WATCHED, "sites", "loads"))
+        late = frozenset(name for name, held in state.part("permits").items() if self.is_late(held, moment))
+        if self.planned is not None and self.planned[1] == late:
+            if all(a is b for a, b in zip(parts, self.planned[0], strict=True)):
+                return
+            self.plan.change(asked(state, moment, running, late))
+        else:
+            self.plan.make(asked(state, moment, running, late))
+        self.planned = parts, late
+
+    # ---- what is told, and drains that are late
+
+    def about(self, now, wall_ms, moment, state, running):
+        if not running or now < self.tell:
+            return None
+        self.replan(moment, state, running)
+        told = told_of(self.plan, state, running, wall_ms, moment, self.late)
+        for name, one in sorted(running.items()):
+            progress = state.part("progress")[name]
+            waves, following, stuck = told[name]
+            if (progress.waves, progress.next, progress.stuck) != (waves, following, stuck):
+                return DrainTold(drain=name, waves=waves, next=following, stuck=stuck)
+            if wall_ms >= max(one.deadline_ms, 1) and moment >= progress.moved + GIVE_UP:
+                return DrainGivenUp(drain=name, moved=progress.moved)
+            if wall_ms >= progress.cordon_ms + HOLD_MS:
+                return DrainCordon(drain=name, cordon_ms=wall_ms + OPEN_MS)
+        self.tell = now + TELL
+        return None
+
+
+def may_go(state, name):
+    """Whether a drain wants it and no gang holds it; one that is down has no need to."""
+    held = state.part("permits").get(name)
+    if name not in state.part("wants") or (held is not None and held.phase != RECALLED):
+        return False
+    node = state.part("nodes")[name]
+    return bool(up(node) or node.out) and not state.part("loads").get(name, NO_LOAD).gangs
+
+
+def own_down(state):
+    """Nodes that a drain wants and that went down on their own: they need no wave."""
+    nodes, permits = state.part("nodes"), state.part("permits")
+    return [
+        name
+        for name in state.part("wants")
+        if name not in permits and not up(nodes[name]) and not nodes[name].out
+    ]
+
+
+def cold(state, names, found):
+    nodes = state.part("nodes")
+    return any(found[nodes[name].site].warm_at for name in names)
+
+
+def fitting(state, moment, names, found):
+    """As many of a wave as may go now, one by one."""
+    kept = ()
+    for name in names[:MOST_TRIED]:
+        if may_go(state, name) and not ground.objections(state, moment, (*kept, name), found):
+            kept = (*kept, name)
+    return kept
+
+
+def take_back(state, moment):
+    """Names whose permits, not yet acted on, have to go back, as the ground has gone: as many as bring each
+    group and site right, those not yet clear first."""
+    nodes, loads, permits = state.part("nodes"), state.part("loads"), state.part("permits")
+    open_ = {name: held for name, held in permits.items() if held.phase in (GIVEN, CLEAR)}
+    if not open_:
+        return set()
+    taken, order = set(), sorted(open_, key=lambda name: (open_[name].phase != GIVEN, name))
+    for group_name in sorted({g for name in open_ for g in loads.get(name, NO_LOAD).groups}):
+        group = state.part("groups")[group_name]
+        short = group.quorum - ground.caught_up(state, group)
+        members = [name for name in group.nodes if nodes[name].state == SERVING and name in permits]
+        short -= sum(name in taken or permits[name].phase == RECALLED for name in members)
+        for name in order:
+            if short > 0 and name in members and name not in taken:
+                taken.add(name)
+                short -= 1
+    found = ground.sums(state, moment, {nodes[name].site for name in open_})
+    for site, sums in sorted(found.items()):
+        here = [name for name in order if nodes[name].site == site]
+        short = sums.need - sums.bears
+        for name, held in permits.items():
+            if nodes[name].site == site and (held.phase == RECALLED or name in taken):
+                short -= back_bears(state, nodes[name], moment)
+        for name in here:
+            if short > 0 and name not in taken:
+                taken.add(name)
+                short -= back_bears(state, nodes[name], moment)
+    return taken
+
+
+def back_bears(state, node, moment):
+    """What a node that is out would bear were it taken back."""
+    if node.state not in (SERVING, CATCHING_UP):
+        return 0
+    return int(node.units * state.terms.cold_share) if node.warm > moment else node.units
+
+
+def asked(state, moment, running, late):
+    """What the planner is to place: the nodes that drains want and that may go, against what each group and
+    site lets go once those that are away for a drain, and not late, are back and warm."""
+    nodes, loads, permits = state.part("nodes"), state.part("loads"), state.part("permits")
+    rows, terms, wants = state.part("groups"), state.terms, state.part("wants")
+    away = {name for name, node in nodes.items() if not up(node)}
+    awaited = {name for name in away if name in permits and nodes[name].state != FAILED and name not in late}
+    found = ground.sums(state, moment)
+    made = Asked()
+    for site, sums in found.items():
+        made.caps["units", site] = sums.warm - sums.need
+        made.caps["share", site] = sums.most_away(terms) - sums.away
+    for name in awaited:
+        made.caps["units", nodes[name].site] += nodes[name].units
+        made.caps["share", nodes[name].site] += 1
+    lasting = {nodes[name].site for name in late if name in away and nodes[name].state != FAILED}
+    for site in found:
+        if site not in lasting:  # one may always go
+            made.caps["share", site] = max(1, made.caps["share", site])
+    several = len(running) > 1
+    ranks = {name: (one.deadline_ms or NEVER, one.since) for name, one in running.items()}
+    for name, drains in wants.items():
+        if name in permits and permits[name].phase != RECALLED:
+            continue
+        node, load = nodes[name], loads.get(name, NO_LOAD)
+        if load.gangs or not (up(node) or node.out):
+            continue
+        gone = name in late  # counted as away already
+        counts = 1 if node.state == SERVING and not gone else 0
+        takes = [(("units", node.site), 0 if gone else node.units), (("share", node.site), 0 if gone else 1)]
+        for group in load.groups:
+            limit = "group", group
+            takes.append((limit, counts))
+            if limit not in made.caps:
+                row = rows[group]
+                hoped = sum(nodes[n].state == SERVING and not nodes[n].out or n in awaited for n in row.nodes)
+                made.caps[limit] = hoped - row.quorum
+        made.takes[name] = tuple(takes)
+        if several:
+            made.ranks[name] = min(ranks[one] for one in drains)
+    return made
+
+
+def told_of(plan, state, running, wall_ms, moment, late):
+    """Drain to (waves, names of the next one, what stands in the way)."""
+    wants = state.part("wants")
+    waves, following, stuck = dict.fromkeys(running, 0), {n: [] for n in running}, {n: [] for n in running}
+    for names in plan.waves:
+        met = set()
+        for name in names:
+            for drain in wants.get(name, ()):
+                met.add(drain)
+        for drain in met:
+            waves[drain] += 1
+            if waves[drain] == 1:
+                following[drain] = sorted(name for name in names if drain in wants.get(name, ()))
+    for names, fault in in_the_way(plan, state, wall_ms, moment, late, running):
+        for drain in sorted({one for name in names for one in wants.get(name, ())}):
+            if len(stuck[drain]) < MOST_TOLD:
+                stuck[drain].append(stuck_by(fault))
+    return {name: (waves[name], tuple(following[name][:MOST_NAMED]), tuple(stuck[name])) for name in running}
+
+
+def in_the_way(plan, state, wall_ms, moment, late, running):
+    """(nodes, fault) of each thing that a drain waits for; those of permits and gangs first."""
+    nodes, loads, permits = state.part("nodes"), state.part("loads"), state.part("permits")
+    wants, held_by, limits = state.part("wants"), {}, {}
+    for name in sorted(permits):
+        held = permits[name]
+        if nodes[name].state == FAILED:
+            yield [name], NotBack(f"node {name} failed and is not back")
+        elif held.phase != GIVEN and moment - held.moment >= late:
+            yield [name], LATE_BY[held.phase](f"node {name} is {held.phase} since entry {held.at}")
+    for name in wants:
+        for gang in loads.get(name, NO_LOAD).gangs:
+            if up(nodes[name]):
+                held_by.setdefault(gang, []).append(name)
+    for gang, names in sorted(held_by.items()):
+        ends, here = state.part("gangs")[gang].ends_ms, named(names)
+        deadlines = [running[one].deadline_ms for name in names for one in wants[name]]
+        if not ends:
+            yield names, GangWithoutEnd(f"gang {gang} has no end known and runs on {here}")
+        elif ends <= wall_ms:
+            yield names, GangOverran(f"gang {gang} was to end at {ends} and runs on {here}")
+        elif any(deadline and deadline <= wall_ms for deadline in deadlines):
+            yield names, GangPastDeadline(f"gang {gang} runs until {ends}, past the deadline, on {here}")
+    for name, limit in plan.blocked.items():
+        limits.setdefault(limit, []).append(name)
+    for limit, names in sorted(limits.items()):
+        what, key = limit
+        says = f"{named(names)} can't go now"
+        if what == "group":
+            group = state.part("groups")[key]
+            have = ground.caught_up(state, group)
+            yield names, GroupShort(f"group {key} has {have} caught up, its quorum is {group.quorum}: {says}")
+        elif what == "units":
+            spare = plan.asked.caps[limit]
+            yield names, SiteShort(f"site {key} has {max(spare, 0)} units to spare: {says}")
+        else:
+            yield names, SiteShareTaken(f"site {key} has as many nodes away as may be: {says}")
+
+
+LATE_BY = {CLEAR: NotDown, DOWN: NotBack, RETURNING: StaysCatchingUp, RECALLED: StaysOut}
+__all__ = ["Drains", "asked", "in_the_way", "take_back"]
--- /dev/null
+++ b/lemonlead/drains/planner.py
@@ -0,0 +1,256 @@
+"""Waves: which nodes go together, in as few waves as it can.
+
+Each node takes part of some limits (one for each of its groups, its site's units and its site's share); a
+wave fits while no limit is overdrawn. That is colouring (groups that can miss one node) and packing (sites)
+in one. First fit, the scarcest first, then again by the waves found, last wave first: that never takes more
+waves and often fewer. After an event only what it touched is placed anew."""
+
+from dataclasses import dataclass, field
+
+TRIES = 24  # more rounds while the waves are more than the lower bound
+WORK = 60_000  # nodes placed in all rounds: large fleets get fewer
+WITHIN = 1.25  # of the lower bound: past it, a plan that was changed is made anew
+
+
+@dataclass(slots=True)
+class Asked:
+    """`takes`: node to ((limit, how much), ...); `caps`: limit to how much a wave may take; `ranks`: node to
+    what is placed first (deadline, age), the same for most."""
+
+    takes: dict = field(default_factory=dict)
+    caps: dict = field(default_factory=dict)
+    ranks: dict = field(default_factory=dict)
+
+
+def blocked(asked, name):
+    """The first limit that this node alone overdraws, or None."""
+    for limit, much in asked.takes[name]:
+        if much > asked.caps[limit]:
+            return limit
+    return None
+
+
+def lower_bound(asked, names):
+    """No plan for these takes fewer waves."""
+    sums, counts, least, most = {}, {}, {}, 1 if names else 0
+    for name in names:
+        for limit, much in asked.takes[name]:
+            if much:
+                sums[limit] = sums.get(limit, 0) + much
+                cap = asked.caps[limit]
+                if 2 * much > cap:  # no two of these go together
+                    counts[limit] = counts.get(limit, 0) + 1
+                least[limit] = min(least.get(limit, much), much)
+    for limit, total in sums.items():
+        most = max(most, -(-total // asked.caps[limit]), counts.get(limit, 0))
+    return most
+
+
+class Plan:
+    """Waves that are kept as the fleet changes."""
+
+    def __init__(self, asked=None):
+        self.asked, self.blocked = Asked(), {}
+        self.waves, self.used, self.where = [], [], {}  # names (a dict, in order); limit to sum; name to wave
+        self.first, self.least = {}, {}  # limit to the first wave with room; to the least that a node takes
+        self.bound = 0
+        if asked is not None:
+            self.make(asked)
+
+    # ---- whole
+
+    def make(self, asked):
+        """All anew."""
+        self.asked = asked
+        self.blocked = {name: limit for name in asked.takes if (limit := blocked(asked, name)) is not None}
+        names = [name for name in asked.takes if name not in self.blocked]
+        self.bound = lower_bound(asked, names)
+        rounds = max(1, min(TRIES, WORK // max(1, len(names))))
+        self.fill(self.scarcest(names))
+        best = self.waves
+        for turn in range(rounds):
+            if len(best) <= self.bound:
+                break
+            waves = best[::-1] if turn % 2 else sorted(best, key=len, reverse=True)
+            self.fill(self.by_rank([name for wave in waves for name in wave]))
+            if len(self.waves) <= len(best):
+                best = self.waves
+        if self.waves is not best:
+            self.fill([name for wave in best for name in wave])
+
+    def fill(self, names):
+        self.waves, self.used, self.where, self.first, self.least = [], [], {}, {}, {}
+        for name in names:
+            self.note(name)
+        for name in names:
+            self.place(name)
+
+    def by_rank(self, names):
+        ranks = self.asked.ranks
+        return sorted(names, key=lambda name: ranks.get(name, ())) if ranks else names
+
+    def scarcest(self, names):
+        """Those whose limits need the most waves come first."""
+        takes, caps, sums = self.asked.takes, self.asked.caps, {}
+        for name in names:
+            for limit, much in takes[name]:
+                sums[limit] = sums.get(limit, 0) + much
+        press = {limit: total / max(1, caps[limit]) for limit, total in sums.items()}
+
+        def hard(name):
+            found = [(press[limit], much) for limit, much in takes[name] if much]
+            return -max(found, default=(0, 0))[0], -sum(p for p, _ in found), -sum(m for _, m in found), name
+
+        return self.by_rank(sorted(names, key=hard))
+
+    # ---- one node
+
+    def note(self, name):
+        for limit, much in self.asked.takes[name]:
+            if much:
+                self.least[limit] = min(self.least.get(limit, much), much)
+
+    def place(self, name):
+        caps, takes, used, first, least = (
+            self.asked.caps,
+            self.asked.takes[name],
+            self.used,
+            self.first,
+            self.least,
+        )
+        wave, count = 0, len(used)
+        for limit, much in takes:
+            if not much:
+                continue
+            at, cap, small = first.get(limit, 0), caps[limit], least[limit]
+            while at < count and used[at].get(limit, 0) + small > cap:
+                at += 1
+            first[limit] = at
+            if at > wave:
+                wave = at
+        while wave < count:
+            sums = used[wave]
+            for limit, much in takes:
+                if sums.get(limit, 0) + much > caps[limit]:
+                    break
+            else:
+                break
+            wave += 1
+        if wave == count:
+            used.append({})
+            self.waves.append({})
+        sums = used[wave]
+        for limit, much in takes:
+            sums[limit] = sums.get(limit, 0) + much
+        self.waves[wave][name] = None
+        self.where[name] = wave
+
+    def remove(self, name):
+        wave = self.where.pop(name)
+        del self.waves[wave][name]
+        sums = self.used[wave]
+        for limit, much in self.asked.takes[name]:
+            sums[limit] -= much
+            if self.first.get(limit, 0) > wave:
+                self.first[limit] = wave
+
+    # ---- after an event
+
+    def change(self, asked):
+        """The same plan for what is asked now: what is gone leaves, what has no room any more or is new is
+        placed anew. Made anew whole where it would be far from the lower bound."""
+        old, self.asked = self.asked, asked
+        left = []
+        for name in [*self.where]:
+            if asked.takes.get(name) != old.takes[name]:
+                self.asked = old
+                self.remove(name)
+                self.asked = asked
+        tight = {limit for limit, cap in asked.caps.items() if cap < old.caps.get(limit, cap)}
+        wider = {limit for limit, cap in asked.caps.items() if cap > old.caps.get(limit, cap)}
+        for limit in wider:
+            self.first.pop(limit, None)
+        self.blocked = {name: limit for name in asked.takes if (limit := blocked(asked, name)) is not None}
+        for name in self.blocked:
+            if name in self.where:
+                self.remove(name)
+        if tight:
+            left = self.evict(tight)
+        for name in left:
+            self.remove(name)
+        new = [name for name in asked.takes if name not in self.where and name not in self.blocked]
+        for name in new:
+            self.note(name)
+        for name in self.scarcest(new):
+            self.place(name)
+        self.close_up()
+        names = list(self.where)
+        self.bound = lower_bound(asked, names)
+        while len(self.waves) > self.bound and self.dissolve():
+            pass
+        if len(self.waves) > max(self.bound + 1, WITHIN * self.bound):
+            self.make(asked)
+
+    def evict(self, tight):
+        """Names that have to leave their waves, as a limit lets fewer go."""
+        caps, takes, out = self.asked.caps, self.asked.takes, []
+        for wave, sums in enumerate(self.used):
+            over = {
+                limit: sums[limit] - caps[limit]
+                for limit in tight
+                if sums.get(limit, 0) > max(0, caps[limit])
+            }
+            if not over:
+                continue
+            for name in [*self.waves[wave]][::-1]:
+                if any(over.get(limit, 0) > 0 and much for limit, much in takes[name]):
+                    out.append(name)
+                    for limit, much in takes[name]:
+                        if limit in over:
+                            over[limit] -= much
+        return out
+
+    def close_up(self):
+        """Without empty waves."""
+        if all(self.waves):
+            return
+        kept = [wave for wave, names in enumerate(self.waves) if names]
+        self.waves, self.used = [self.waves[w] for w in kept], [self.used[w] for w in kept]
+        self.where = {name: wave for wave, names in enumerate(self.waves) for name in names}
+        self.first = {}
+
+    def dissolve(self):
+        """Whether the smallest wave could be spread over the others."""
+        if len(self.waves) < 2:
+            return False
+        small = min(range(len(self.waves)), key=lambda wave: len(self.waves[wave]))
+        names, count, moved = [*self.waves[small]], len(self.waves), []
+        if len(names) > 64:
+            return False
+        for name in names:
+            others = self.room(name, small)
+            if others is None:
+                for back in moved:
+                    self.remove(back)
+                    self.put(back, small)
+                return False
+            self.remove(name)
+            self.put(name, others)
+            moved.append(name)
+        self.close_up()
+        return len(self.waves) < count
+
+    def room(self, name, but):
+        for wave, sums in enumerate(self.used):
+            if wave != but and all(
+                sums.get(limit, 0) + much <= self.asked.caps[limit] for limit, much in self.asked.takes[name]
+            ):
+                return wave
+        return None
+
+    def put(self, name, wave):
+        sums = self.used[wave]
+        for limit, much in self.asked.takes[name]:
+            sums[limit] = sums.get(limit, 0) + much
+        self.waves[wave][name] = None
+        self.where[name] = wave
