--- /dev/null
+++ b/tests/test_moves.py
@@ -0,0 +1,539 @@
+"""Moves between clusters: rules, the duty under every fault at every step, and checkers that catch faults
+put in on purpose."""
+
+from dataclasses import replace
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lemonlead.ledger import capacity
+from lemonlead.ledger.faults import Refused
+from lemonlead.moves import rules, steps
+from lemonlead.standins import two_clusters
+from lemonlead.standins.two_clusters import MS, SECOND, World, furnish, serve
+
+# A step of the source's record and the stage, where it has one.
+STEPS = [
+    ("asked", None), ("reserving", None), ("warming", None), ("members", None), ("shifting", 0),
+    ("shifting", 2), ("shifting", 4), ("settling", None), ("going back", None), ("dropping", None),
+]
+NAMES = [f"{step}{'' if stage is None else stage}" for step, stage in STEPS]
+
+
+def made(seed=0, group=3, **more):
+    world = World(seed, **more)
+    furnish(world, "louis")
+    furnish(world, "ebene")
+    serve(world, "louis", "search", group=group)
+    return world
+
+
+def begin(world, name="m", service="search", cluster="louis", to="ebene", id="begin"):
+    return world.sides[cluster].do(rules.MoveCommand(id=id, move=name, service=service, to=to))
+
+
+def stop(world, name="m", cluster="louis", id="stop"):
+    return world.sides[cluster].do(rules.MoveStop(id=id, move=name))
+
+
+def ends(world, most=900 * SECOND):
+    """It comes to its end, on both sides, with nothing broken on the way."""
+    assert world.run_till(world.quiet, most), [world.move("m"), world.watch.broken]
+    assert world.run_till(lambda: not world.flying)
+    world.run(world.now + 5 * SECOND)
+    world.watch.settled()
+    assert world.watch.broken == []
+    return world.move("m").end
+
+
+def holders(world):
+    assert world.watch.holders("search-wide") == world.watch.holders("search-pinned")
+    return world.watch.holders("search-wide")
+
+
+# ---- every step crossed with every fault
+
+
+def lossy(world, time, **faults):
+    usual = {name: getattr(world, name) for name in faults}
+    for name, value in faults.items():
+        setattr(world, name, value)
+    world.at(world.now + time, lambda: [setattr(world, name, value) for name, value in usual.items()])
+
+
+def leaderless(world, cluster, time):
+    side = world.sides[cluster]
+    side.up = False
+    world.at(world.now + time, side.elect)
+
+
+def fail_node(world, cluster):
+    side = world.sides[cluster]
+    side.do(capacity.Report(node=f"{cluster}-1", state="failed"))
+    world.at(world.now + 20 * SECOND, lambda: side.do(
+        capacity.Report(node=f"{cluster}-1", state="serving")
+    ))
+
+
+def change_again(world, cluster):
+    for later in (0, 10, 300, 700, 5000):
+        world.at(world.now + later * MS, world.sides[cluster].elect)
+
+
+FAULTS = {
+    "nothing": lambda world: None,
+    "all lost 5 s": lambda world: lossy(world, 5 * SECOND, lose=1.0),
+    "half lost": lambda world: lossy(world, 20 * SECOND, lose=0.5),
+    "all twice, late": lambda world: lossy(world, 20 * SECOND, twice=1.0, straggle=50 * SECOND),
+    "out of order": lambda world: lossy(world, 20 * SECOND, late=1900 * MS, twice=0.5),
+    "answers unknown": lambda world: lossy(world, 15 * SECOND, unknown=1.0),
+    "cut one way": lambda world: world.cut_for(10 * SECOND, (("ebene", "louis"),)),
+    "cut 1 s": lambda world: world.cut_for(SECOND),
+    "cut 10 s": lambda world: world.cut_for(10 * SECOND),
+    "cut 60 s": lambda world: world.cut_for(60 * SECOND),
+    "source leader changes": lambda world: change_again(world, "louis"),
+    "source leaderless": lambda world: leaderless(world, "louis", 30 * SECOND),
+    "destination leader changes": lambda world: change_again(world, "ebene"),
+    "destination leaderless": lambda world: leaderless(world, "ebene", 30 * SECOND),
+    "source restarts": lambda world: world.sides["louis"].restore(),
+    "destination restarts": lambda world: world.sides["ebene"].restore(),
+    "source node fails": lambda world: fail_node(world, "louis"),
+    "destination node fails": lambda world: fail_node(world, "ebene"),
+    "gateway silent": lambda world: world.cut_for(15 * SECOND, ("louis-gateway-0",)),
+    "stopped": lambda world: stop(world),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("step", STEPS, ids=NAMES)
+def test_each_step_with_each_fault(step, fault):
+    world = made(seed=NAMES.index(f"{step[0]}{'' if step[1] is None else step[1]}"))
+    met = []
+    world.when(step[0], lambda: (met.append(1), FAULTS[fault](world)), stage=step[1])
+    if step[0] in ("going back", "dropping"):
+        world.when("shifting", lambda: stop(world, id="first"), stage=1)
+    begin(world)
+    end = ends(world)
+    assert met
+    stopped = step[0] in ("going back", "dropping") or fault == "stopped" and step[0] != "settling"
+    assert end == ("stopped" if stopped else "done")
+    assert holders(world) == (["louis"] if stopped else ["ebene"])
+    group = {name for name, side in world.sides.items() if "search/replicas" in side.state.part("groups")}
+    assert group == set(holders(world))
+
+
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(
+    st.integers(0, 1 << 30),
+    st.lists(st.tuples(st.integers(0, 40_000), st.sampled_from(sorted(FAULTS))), max_size=6),
+    st.floats(0, 0.4),
+)
+def test_schedules(seed, faults, lose):
+    world = made(seed)
+    begin(world)
+    for later, fault in faults:
+        world.at(world.now + later * MS, lambda fault=fault: FAULTS[fault](world))
+    lossy(world, 50 * SECOND, lose=lose, twice=lose, straggle=20 * SECOND)
+    end = ends(world)
+    assert holders(world) == (["ebene"] if end == "done" else ["louis"])
+
+
+# ---- a move that can't be, and several at once
+
+
+def test_worse_there_goes_back():
+    world = made(judge=lambda world, gateway, move: "back" if move.stage == 2 else "on")
+    begin(world)
+    assert ends(world) == "sent back"
+    assert holders(world) == ["louis"]
+    assert "worse at 50 %" in world.move("m").says
+
+
+def test_two_full_clusters_that_swap_are_refused_with_what_is_missing():
+    world = World()
+    for cluster, service in (("louis", "search"), ("ebene", "print")):
+        furnish(world, cluster, nodes=2)
+        serve(world, cluster, service, units=12, pinned=4)
+    begin(world)
+    begin(world, "n", "print", "ebene", "louis")
+    assert ends(world) == "refused"
+    for move in (world.move("m"), world.move("n", "ebene")):
+        assert move.end == "refused" and "NoRoomThere" in move.says and "free" in move.says
+    assert holders(world) == ["louis"]
+    assert world.watch.holders("print-wide") == ["ebene"]
+
+
+def test_a_swap_through_what_is_free():
+    world = World()
+    for cluster, service in (("louis", "search"), ("ebene", "print")):
+        furnish(world, cluster, nodes=4)
+        serve(world, cluster, service, units=12, pinned=4)
+    begin(world)
+    begin(world, "n", "print", "ebene", "louis")
+    assert ends(world) == "done"
+    assert holders(world) == ["ebene"] and world.watch.holders("print-wide") == ["louis"]
+
+
+def test_a_second_move_of_a_service_is_refused():
+    world = made()
+    assert begin(world)[0] == 200
+    code, body = begin(world, "n", id="other")
+    assert (code, body["error"]["type"]) == (409, "MoveOpen")
+    world.when("shifting", lambda: world.answers.append(begin(world, "o", id="later")))
+    ends(world)
+    assert [answer[1]["error"]["type"] for answer in world.answers] == ["MoveOpen"]
+
+
+@pytest.mark.parametrize("late", (0, 86_400 * SECOND, 86_400 * SECOND * 40))
+def test_the_same_command_again_after_a_day(late):
+    world = made(gateways=0)
+    first = begin(world)
+    ends(world)
+    serve(world, "louis", "search")  # a new service of that name, which the old command must not move
+    world.run(world.now + late)
+    again = begin(world)
+    if late:
+        assert again[0] == 409 and again[1]["error"]["type"] == "MoveKnown"
+    else:
+        assert again == first
+    assert stop(world)[1]["error"]["type"] == "TooLate"
+    assert world.quiet()
+
+
+def test_each_destination_command_again_after_a_day():
+    world = made(gateways=0)
+    sent, taken = [], world.taken
+    world.taken = lambda call: sent.append(call) or taken(call)
+    begin(world)
+    assert ends(world) == "done"
+    world.run(world.now + 86_400 * SECOND)
+    before = world.sides["ebene"].state.parts
+    for call in sent + sent[::-1]:
+        taken(call)
+    assert world.sides["ebene"].state.parts == before and len(sent) > 5
+
+
+def test_what_ended_is_forgotten_by_the_next_move():
+    world = made(gateways=0)
+    late = []
+    taken = world.taken
+    world.taken = lambda call: late.append(call) or taken(call)
+    begin(world)
+    ends(world)
+    serve(world, "louis", "print")
+    begin(world, "n", "print", id="second")
+    ends(world)
+    holds = world.sides["ebene"].state.part("holds")
+    assert list(holds) == ["louis/n"]
+    world.sides["ebene"].do(capacity.Free(id="f", reservation="search-wide"))
+    before = world.sides["ebene"].state.parts
+    again = [taken(call) for call in late if b'"m"' in call.data]
+    assert world.sides["ebene"].state.parts == before and len(again) > 5
+
+
+def test_move_to_a_cluster_that_nobody_knows():
+    world = made()
+    begin(world, to="atlantis")
+    assert ends(world) == "refused"
+    assert "atlantis" in world.move("m").says and holders(world) == ["louis"]
+
+
+@pytest.mark.parametrize("side", ("louis", "ebene"))
+def test_while_either_side_drains(side):
+    """Cordoned nodes are no room there; here they hinder nothing. The drain sees the hold in the sums."""
+    world = made(group=0)
+    cordon(world.sides[side], [f"{side}-{number}" for number in range(2)])
+    begin(world)
+    assert ends(world) == "done"
+    pinned = world.sides["ebene"].state.part("reservations")["search-pinned"]
+    if side == "ebene":
+        assert set(pinned.nodes) == {"ebene-2", "ebene-3"}
+
+
+def cordon(side, names):
+    """As a drain of these nodes leaves them before any is out."""
+    nodes = side.state.part("nodes")
+    for name in names:
+        nodes = nodes.set(name, msgspec.structs.replace(nodes[name], cordon_ms=1))
+    side.state = replace(side.state, parts=side.state.parts.set("nodes", nodes))
+
+
+def test_a_destination_all_to_be_drained_refuses_at_once():
+    world = made(group=0)
+    cordon(world.sides["ebene"], list(world.sides["ebene"].state.part("nodes")))
+    begin(world)
+    assert ends(world, 20 * SECOND) == "refused"
+    assert "NoRoomThere" in world.move("m").says
+
+
+# ---- groups and gangs
+
+
+def test_a_group_goes_member_by_member():
+    world = made(group=3)
+    sizes = []
+
+    def hook(side, changes):
+        if any(part == "groups" for part, _ in changes):
+            sizes.append(tuple(
+                len(getattr(world.sides[name].state.part("groups").get("search/replicas"), "nodes", ()))
+                for name in ("louis", "ebene")
+            ))
+
+    world.hooks.append(hook)
+    begin(world)
+    assert ends(world) == "done"
+    assert list(dict.fromkeys(sizes)) == [(3, 1), (2, 1), (2, 2), (1, 2), (1, 3), (0, 3)]
+
+
+def test_a_replica_that_never_serves_there_sends_the_move_back():
+    world = made(group=3)
+    for number in range(4):
+        world.sides["ebene"].do(capacity.Report(node=f"ebene-{number}", state="catching_up"))
+    begin(world)
+    assert world.run_till(lambda: world.move("m").step == "members")
+    assert world.run_till(world.quiet, rules.PATIENCE + 60 * SECOND)
+    assert ends(world) == "overdue" and holders(world) == ["louis"]
+    assert world.sides["louis"].state.part("groups")["search/replicas"].quorum == 2
+
+
+def test_a_gang_that_runs_is_not_moved():
+    world = made()
+    gang = capacity.GangCommand(id="g", gang="search/night", nodes=("louis-3",), units=1)
+    assert world.sides["louis"].do(gang)[0] == 200
+    assert begin(world)[1]["error"]["type"] == "GangRuns"
+
+
+def test_a_gang_that_starts_on_the_way_is_waited_for():
+    world = made()
+    louis = world.sides["louis"]
+    start = capacity.GangCommand(id="g", gang="search/night", nodes=("louis-3",), units=1)
+    world.when("shifting", lambda: louis.do(start), stage=3)
+    begin(world)
+    world.run(world.now + 120 * SECOND)
+    assert world.move("m").step == "shifting" and world.move("m").stage == 3
+    louis.do(capacity.GangEnd(id="e", gang="search/night"))
+    assert ends(world) == "done"
+
+
+# ---- who may end what
+
+
+def test_the_destination_ends_no_hold_that_its_source_relies_on():
+    world = made()
+    begin(world)
+    world.run_till(lambda: world.move("m").step == "shifting")
+    ebene = world.sides["ebene"]
+    refused = [
+        stop(world, "louis/m", "ebene"), ebene.do(capacity.Free(id="f", reservation="search-wide"))
+    ]
+    assert [code for code, _ in refused] == [409, 409]
+    assert refused[0][1]["error"]["type"] == "DecidedElsewhere"
+    assert ends(world) == "done"
+
+
+@pytest.mark.parametrize("keep", (True, False))
+def test_a_source_lost_for_good(keep):
+    world = made()
+    begin(world)
+    world.run_till(lambda: world.move("m").step == "shifting")
+    world.sides["louis"].up = False
+    ebene = world.sides["ebene"]
+    assert ebene.do(rules.HoldEnd(id="end", hold="louis/m", keep=keep, because="burnt down"))[0] == 200
+    held = ebene.state.part("reservations")
+    assert all(row.move == "" for row in held.values()) and bool(held) is keep
+    assert ebene.state.part("holds")["louis/m"].by == "burnt down"
+    assert ebene.do(rules.HoldEnd(id="2", hold="louis/m", keep=keep, because="again"))[0] == 409
+
+
+def test_a_hold_ended_by_hand_while_its_source_lives():
+    world = made()
+    end = rules.HoldEnd(id="end", hold="louis/m", keep=False, because="mistaken")
+    world.when("shifting", lambda: world.sides["ebene"].do(end), stage=4)
+    begin(world)
+    assert ends(world) == "refused" and holders(world) == ["louis"]
+    assert "HoldEnded" in world.move("m").says
+
+
+@pytest.mark.parametrize("step", STEPS[1:8], ids=NAMES[1:8])
+def test_a_destination_lost_for_good(step):
+    world = made()
+    world.when(step[0], lambda: setattr(world.sides["ebene"], "up", False), stage=step[1])
+    begin(world)
+    world.run(world.now + 60 * SECOND)
+    lost = rules.MoveLost(id="lost", move="m", because="flooded")
+    assert world.sides["louis"].do(lost)[0] == 200
+    world.run(world.now + 60 * SECOND)
+    move = world.move("m")
+    assert (move.end, move.share, world.quiet()) == ("lost", 0, True) and "flooded" in move.says
+    held = world.sides["louis"].state.part("reservations")
+    assert sorted(held) == ["search-pinned", "search-wide"] and not any(r.move for r in held.values())
+    assert len(world.sides["louis"].state.part("groups")["search/replicas"].nodes) == 3
+    assert world.watch.broken == []
+
+
+# ---- bounds
+
+
+def test_moves_under_way_are_bounded(monkeypatch):
+    monkeypatch.setattr(rules, "MOST_OPEN", 1)
+    world = made()
+    serve(world, "louis", "print")
+    begin(world)
+    code, body = begin(world, "n", "print", id="n")
+    assert code == 409 and "1 moves are under way" in body["error"]["says"]
+
+
+@pytest.mark.parametrize("days, fits", ((29, False), (31, True)))
+def test_ended_moves_are_forgotten_after_a_month_where_room_is_short(monkeypatch, days, fits):
+    monkeypatch.setattr(rules, "MOST_MOVES", 1)
+    world = made(gateways=0)
+    begin(world)
+    ends(world)
+    serve(world, "louis", "print")
+    world.run(world.now + days * 86_400 * SECOND)
+    code, _ = begin(world, "n", "print", id="n")
+    assert (code == 200) is fits and ("m" in world.sides["louis"].state.part("moves")) is not fits
+
+
+def test_waits_grow_and_are_spread():
+    duty, task = steps.Moving("louis", ("ebene",), 1), steps.Task(())
+    waits = []
+    for _ in range(12):
+        duty.unanswered(0, task)
+        waits.append(task.wait)
+    assert all(steps.FIRST_WAIT // 2 <= wait <= steps.LONGEST_WAIT for wait in waits)
+    assert waits[0] < waits[3] and len(set(waits)) == 12 and duty.counts["unknown"] == 12
+
+
+# ---- the checker catches faults put in on purpose
+
+
+def never_refused(function):
+    def rule(draft, command):
+        try:
+            return function(draft, command)
+        except Refused:
+            return None
+
+    return rule
+
+
+def keeps_at_once(draft, command):
+    """The destination takes what it holds for its own before the source decided."""
+    answer = rules.take(draft, command)
+    rules.keep_it(draft, command.key, draft.get("holds", command.key), "")
+    return answer
+
+
+def takes_too_much(draft, command):
+    for piece in command.pieces:
+        draft.put("reservations", piece.reservation, capacity.Reservation(
+            command.service, piece.units, (), "ebene", command.key
+        ))
+    draft.put("holds", command.key, rules.Hold(
+        command.source, command.move, command.epoch, command.service,
+        reservations=tuple(piece.reservation for piece in command.pieces),
+    ))
+
+
+def takes_half(draft, command):
+    pieces = tuple(msgspec.structs.replace(piece, units=piece.units // 2) for piece in command.pieces)
+    return rules.take(draft, msgspec.structs.replace(command, pieces=pieces))
+
+
+def forgets_ends(draft, command):
+    """No fence: a hold that was dropped is forgotten at once."""
+    answer = rules.drop(draft, command)
+    draft.drop("holds", command.key)
+    return answer
+
+
+def drops_while_shifting(draft, command):
+    hold = draft.get("holds", command.key)
+    answer = rules.warm(draft, command)
+    if hold.state == "warm" and answer["warm"]:
+        rules.drop_it(draft, command.key, draft.get("holds", command.key), "")
+    return answer
+
+
+def frees_early(draft, command):
+    """Free here before the other side has said that it keeps it."""
+    move = draft.get("moves", command.move)
+    rules.forward(draft, command)
+    if move.step == "shifting" and move.share == 1000:
+        for one in move.reservations:
+            capacity.release(draft, one, draft.get("reservations", one))
+
+
+def hands_over_unasked(draft, command):
+    """A member goes here whether or not another serves there."""
+    return rules.forward(draft, msgspec.structs.replace(command, serving=99))
+
+
+def stops_late(draft, command):
+    move = draft.get("moves", command.move)
+    if move.step in ("settling", "done"):
+        rules.finish(draft, command.move, move, "stopped", 1)
+    return {}
+
+
+def two_moves(draft, command):
+    for name, held in draft.part("reservations").items():
+        draft.put("reservations", name, msgspec.structs.replace(held, move=""))
+    hidden = dict(draft.part("moving"))
+    for name in hidden:
+        draft.drop("moving", name)
+    rules.begin(draft, command)
+    for name, row in hidden.items():
+        draft.put("moving", name, row)
+
+
+FORGED = {
+    "keeps at once": (None, {"HoldTake": keeps_at_once}, None),
+    "takes too much": (None, {"HoldTake": takes_too_much}, "full"),
+    "takes half": (None, {"HoldTake": takes_half}, None),
+    "forgets ends": (None, {"HoldDrop": forgets_ends}, "late take"),
+    "drops while shifting": (None, {"HoldWarm": drops_while_shifting}, None),
+    "frees early": ({"MoveNext": frees_early}, None, None),
+    "hands over unasked": ({"MoveNext": hands_over_unasked}, None, "replicas lag"),
+    "stops late": ({"MoveStop": stops_late}, None, "stop late"),
+    "two moves": ({"MoveCommand": two_moves}, None, "two moves"),
+}
+
+
+@pytest.mark.parametrize("forged", FORGED)
+def test_the_checker_catches(forged):
+    here, there, scene = FORGED[forged]
+    ledgers = {"louis": two_clusters.ledger(**here or {}), "ebene": two_clusters.ledger(**there or {})}
+    world = made(group=3, ledgers=ledgers)
+    if scene == "full":
+        world.sides["ebene"].do(
+            capacity.Reserve(id="r", reservation="other", service="other", units=30, site="ebene")
+        )
+    if scene == "replicas lag":
+        for number in range(4):
+            world.sides["ebene"].do(capacity.Report(node=f"ebene-{number}", state="catching_up"))
+    if scene == "late take":
+        calls, taken = [], world.taken
+        world.taken = lambda call: calls.append(call) or taken(call)
+        world.when("shifting", lambda: stop(world))
+    if scene == "stop late":
+        world.when("settling", lambda: (world.cut_for(5 * SECOND), stop(world)))
+    if scene == "two moves":
+        world.when("shifting", lambda: begin(world, "n", id="n"))
+    begin(world)
+    world.run(world.now + 60 * SECOND)
+    if scene == "late take":
+        world.taken(calls[0])
+    world.watch.settled()
+    assert world.watch.broken
+
+
+def test_the_checker_finds_nothing_where_nothing_is_wrong():
+    world = made()
+    begin(world)
+    assert ends(world) == "done"
+    assert world.watch.pieces and world.watch.takes == {("ebene", "louis/m", world.move("m").epoch): 1}
