--- /dev/null
+++ b/tests/test_standing.py
@@ -0,0 +1,270 @@
+"""The sentences of the standing test that were sharpened, each held against the code: `docs/standing.md`.
+
+Times are nanoseconds on made clocks, or seconds where a program runs; nothing waits for a guessed time.
+"""
+
+import contextlib
+import json
+import signal
+import socket
+import threading
+from types import SimpleNamespace
+
+import pytest
+from helpers import MS, NOW, Desk, balancer, line, lookup
+from lemonlead import interface as at
+from lemonlead.balance import Balancer
+from lemonlead.gateway import discovery as drivers
+from lemonlead.gateway import resp, upkeep
+from lemonlead.gateway.clients import Client
+from lemonlead.gateway.counters import Counters
+from lemonlead.gateway.crew import Crew
+from lemonlead.gateway.discovery import Discovery
+from lemonlead.gateway.http import Objects
+from lemonlead.gateway.place import address
+from lemonlead.standins import clients
+from lemonlead.standins.discovery import DiscoveryServer, entry
+from lemonlead.standins.fleet import SETTINGS, gateway
+from lemonlead.standins.instances import InstanceServer, gives
+from lemonlead.standins.server import Server, until
+from lemonlead.told import started
+
+# ---- what is told, and when
+
+LIST = {"version": 3, "full": True, "servers": [{"id": 'a"}{\\', "addr": "h:1", "cells": [[], {}]}, {}]}
+
+
+@pytest.mark.parametrize("indent", [None, 0, 2, "\t"])
+def test_lists_are_read_however_they_are_indented(indent):
+    objects, text = Objects(), json.dumps(LIST, indent=indent).encode()
+    lines = [b"", *text.split(b"\n"), b"", b"  ", *text.split(b"\n")]
+    told = [json.loads(whole) for whole in map(objects.add, lines) if whole]
+    assert told == [LIST, LIST] and not objects.lines
+
+
+def test_a_gateway_goes_by_a_list_that_comes_indented(tmp_path):
+    old = InstanceServer().start()
+    new = InstanceServer(lambda words: gives(b"new")).start()
+    with gateway(tmp_path, old, new, entries=[entry("i0", old)]) as ran:
+        ran.discovery.indent = 2
+        ran.discovery.tell(entry("i1", new), full=True, version=5)
+        client = ran.client()
+        until(lambda: client.ask().read() == b"new")
+        assert "reason=malformed" not in ran.log()
+
+
+def test_where_lists_are_pushed_no_lookup_goes_by_the_list_of_before_the_start(tmp_path):
+    old = InstanceServer().start()
+    new = InstanceServer(lambda words: gives(b"new")).start()
+    discovery = DiscoveryServer().start()
+    discovery.tell(entry("i0", old, "draining"), entry("i1", new), version=5)
+    settings = {"Discovery": "push", "Balancers": 200}  # so many spread their first call over 2 s
+    with gateway(tmp_path, old, new, entries=[entry("i0", old)], settings=settings, source=discovery) as ran:
+        assert [ran.client().ask().read() for _ in range(5)] == 5 * [b"new"] and not old.got
+
+
+class Quiet:
+    def info(self, *_, **more):
+        pass
+
+
+class Full(Server):
+    """Discovery with too many callers: each waits, then gets 503."""
+
+    calls = 0
+
+    def serve(self, sock):
+        sock.recv(4096)
+        self.calls += 1
+        sock.sendall(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+
+
+def driver(where="127.0.0.1:1", within=10_000):
+    """The driver of discovery at this address, where so many milliseconds are told for asking; what it tells
+    of lists and of failures."""
+    obligations = {**SETTINGS["Obligations"], "AskWithin": within}
+    start = started({**SETTINGS, "Obligations": obligations}, 7, NOW)
+    place = SimpleNamespace(start=start, discovery=address(where), zones={}, kinds={})
+    lists, failures = [], []
+    desk = SimpleNamespace(instances=SimpleNamespace(pools={}, listed=lambda *_: None))
+    desk.balancer = SimpleNamespace(
+        listed=lambda now, lines, whole, fresh: lists.append([row.id for row in lines]),
+        list_failed=failures.append,
+    )
+    desk.tell = lambda happened, *values: happened(NOW, *values)
+    return Discovery(place, desk, Quiet(), Counters()), lists, failures
+
+
+def watching(where):
+    """The same at work, in a thread of its own."""
+    made, lists, failures = driver(where)
+    threading.Thread(target=made.run, daemon=True).start()
+    made.ask()
+    return made, lists, failures
+
+
+def test_a_watch_that_fell_silent_is_opened_anew_and_tells_what_was_missed(monkeypatch):
+    monkeypatch.setattr(drivers, "SILENCE", 0.2)
+    server = DiscoveryServer().start()
+    made, lists, failures = watching(server.address)
+    server.tell(entry("a", server), full=True, version=2)
+    until(lambda: lists == [["a"]])
+    server.silent.set()
+    server.tell(entry("b", server), version=3)  # missed: it reaches no watch
+    until(lambda: failures)
+    assert made.counters.read() == {"lists told": 1, "watches ended: silent": 1}
+    server.silent.clear()
+    made.ask()  # as the balancer does in its time
+    until(lambda: lists == [["a"], ["b"]])
+    assert server.asked[-1] == "/api/targets?stream=1&index=2"
+    server.close()
+
+
+def test_half_a_list_and_then_signs_of_life_alone_count_as_silence(monkeypatch):
+    monkeypatch.setattr(drivers, "SILENCE", 0.2)
+
+    class Half(Server):
+        def serve(self, sock):
+            sock.recv(4096)
+            sock.sendall(b'HTTP/1.1 200 OK\r\n\r\n{"version": 2,\n')
+            while not gone.wait(0.02):
+                sock.sendall(b"\n")
+
+    gone, server = threading.Event(), Half().start()
+    made, lists, failures = watching(server.address)
+    until(lambda: failures)
+    assert made.counters.read() == {"watches ended: silent": 1} and not lists
+    gone.set()
+    server.close()
+
+
+def pauses(kept, crowded, count=12):
+    """The pauses, in seconds, after so many failures in a row, each as long as chance may make it."""
+    kept.random.uniform = lambda least, most: most
+    waited = []
+    kept.room.wait_for = lambda moving, seconds: waited.append(seconds)
+    for _ in range(count):
+        kept.wait(crowded)
+    return waited
+
+
+def asks_anew():
+    """Seconds until a balancer that was told of a failure asks for the list at the latest."""
+    latest = 0
+    for seed in range(100):
+        made, desk = balancer([line(1)], ask_for_list=True, seed=seed), Desk()
+        made.listed(NOW, [], False, True)
+        made.list_failed(NOW)
+        latest = max(latest, made.ask_at - NOW)
+        assert ("watch",) in desk.pull(made, made.ask_at)
+    return latest / 1e9
+
+
+def test_what_a_silent_watch_missed_is_asked_for_within_six_seconds():
+    made, *_ = driver()
+    made.upkeep.worked()  # it had told a list before
+    assert drivers.SILENCE + pauses(made.upkeep, False)[0] + asks_anew() < 5.7  # the rest is for the way
+
+
+@pytest.mark.parametrize("within", [1000, 2000, 10_000])
+def test_a_list_in_hand_binds_no_longer_than_told_before_it_is_asked_for(within):
+    """Milliseconds told for asking: four times that from a call that failed, after two seconds at most; and
+    from the start until the first call."""
+    made, *_ = driver(within=within)
+    longest = max(pauses(made.upkeep, True) + pauses(made.upkeep, False))
+    assert 2.0 + longest + asks_anew() <= 4 * within / 1e3
+    rules = dict(now=NOW, balancers=200, ask_for_list=True, ask_within=within * MS)
+    firsts = [Balancer(at.Start(seed=seed, **rules)).ask_at for seed in range(200)]
+    assert max(firsts) <= NOW + within * MS // 2 and len(set(firsts)) > 100
+
+
+def test_after_sighup_the_new_address_is_asked_at_once_though_the_old_one_had_too_many_callers():
+    full, server = Full().start(), DiscoveryServer().start()
+    made, lists, _ = watching(full.address)
+    server.tell(entry("a", server), full=True, version=2)
+    made.upkeep.length = upkeep.CROWDED
+    until(lambda: full.calls)
+    made.move(address(server.address))
+    until(lambda: lists == [["a"]], 4)  # what is told there counts from then on
+    for one in (full, server):
+        one.close()
+
+
+# ---- after SIGTERM
+
+
+@pytest.fixture
+def ended():
+    """A client's connection that was asked to end just before what is on it was read: ours, theirs."""
+    with socket.create_server(("127.0.0.1", 0)) as listener, socket.socket() as theirs:
+        theirs.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        theirs.connect(listener.getsockname())
+        ours, _ = listener.accept()
+        gate = SimpleNamespace(stopping=True, crew=Crew(), lookup=lambda *_: lookup(), gone=lambda _: None)
+        gate.weigh, gate.desk = lambda _: True, SimpleNamespace(lookup_arrived=None, TWICE=b"-")
+        client = Client(ours, gate, False)
+
+        def answer(happened, ask, lookup):
+            ask.answer = resp.bulk(ask.words[1] * 400_000)
+            client.flush()
+
+        gate.desk.tell = answer
+        yield client, theirs
+
+
+COMMAND = resp.command([b"Q.ASK", b"key", b"id", b"c=look,d=900"])
+
+
+def all_of(theirs):
+    data = b""
+    with contextlib.suppress(ConnectionResetError):
+        while more := theirs.recv(65536):
+            data += more
+    return data
+
+
+@pytest.mark.parametrize("cut", [len(COMMAND), 9])
+def test_what_was_read_when_its_connection_was_to_end_gets_its_whole_answer(ended, cut):
+    client, theirs = ended
+    theirs.sendall(COMMAND[:cut])
+    until(lambda: len(client.sock.recv(99, socket.MSG_PEEK)) == cut)
+    client.leave("stopping")
+    thread = threading.Thread(target=client.run, daemon=True)
+    thread.start()
+    if COMMAND[cut:]:  # the other half comes once the first is read
+        until(lambda: not client.reader.empty())
+        theirs.sendall(COMMAND[cut:])
+    until(lambda: client.writing or not thread.is_alive())
+    assert all_of(theirs) == resp.bulk(b"key" * 400_000)
+    thread.join(60)
+    assert client.reason == "stopping"
+
+
+def test_each_lookup_that_clients_go_on_sending_after_sigterm_is_answered_or_was_never_read(tmp_path):
+    server = InstanceServer().start()
+    asked, answered = set(), set()
+
+    def go_on(number):
+        with contextlib.suppress(OSError):  # until none is let in any more
+            while True:
+                client = clients.Client(ran.port)
+                with contextlib.suppress(OSError), client.sock:
+                    while True:
+                        asked.add(key := b"%d.%d" % (number, len(asked)))
+                        if client.ask(key).read() != key:
+                            break
+                        answered.add(key)
+
+    with gateway(tmp_path, server) as ran:
+        until(lambda: ran.platform.asked == 1)  # that it has started in full
+        threads = [threading.Thread(target=go_on, args=(number,), daemon=True) for number in range(6)]
+        for thread in threads:
+            thread.start()
+        until(lambda: {key.split(b".")[0] for key in answered} == {b"%d" % n for n in range(6)})
+        ran.process.send_signal(signal.SIGTERM)
+        assert ran.process.wait(60) == 0
+        for thread in threads:
+            thread.join(60)
+        assert {words[1] for words in server.got} == answered  # what was read is answered
+        assert len(asked) >= len(answered) + 6  # what each asked last met a closing, or nobody
