--- a/lemonlead/commands/__init__.py
+++ b/lemonlead/commands/__init__.py
@@ -12,6 +12,7 @@
     "rules": "rules",
     "settings": "settings",
     "capacity": "capacity",
+    "member": "member",
     "try": "attempt",
 }
 HELP = {
@@ -19,6 +20,7 @@
     "rules": "Check, evaluate and measure rules over lookups.",
     "settings": "Check and show settings files.",
     "capacity": "Say what a fleet can bear: what breaks first, how many instances, what losses do.",
+    "member": "Run one member of a cluster: a ledger that several gateways hold together.",
     "try": "Start a gateway among stand-ins, ask some lookups, show where each went.",
 }
 
--- /dev/null
+++ b/lemonlead/commands/member.py
@@ -0,0 +1,18 @@
+"""`lemonlead member`."""
+
+import sys
+
+import click
+
+
+@click.command(name="member")
+@click.argument("file", type=click.Path())
+@click.option("--join", is_flag=True, help="Start outside; the command `add` takes it in.")
+def command(file, join):
+    """Run one member of a cluster in the foreground, as FILE says.
+
+    Example: lemonlead member deploy/cluster/g1.cue
+    """
+    from ..member import run
+
+    sys.exit(run.main(file, join))
--- a/lemonlead/ledger/followers.py
+++ b/lemonlead/ledger/followers.py
@@ -14,6 +14,8 @@
 from .state import Command
 
 MOST_FOLLOWERS = 1000
+LOOK = 200_000_000  # between two looks at whose lease ran out
+NEVER = 1 << 62
 
 
 class Follower(Struct, frozen=True):
@@ -102,4 +104,29 @@
         return None
 
 
-__all__ = ["INNER", "KINDS", "MOST", "RULES", "Followers"]
+class Forgetting:
+    """A leader's duty: whoever's lease and grace ran out is followed no more."""
+
+    def __init__(self, desk):
+        self.desk, self.again = desk, 0
+
+    def took_office(self, now):
+        self.again = 0
+
+    def next(self, now, wall_ms, state, followers):
+        if now < self.again:
+            return None
+        forgotten = followers.next(now, state)
+        if forgotten is None:
+            self.again = now + LOOK
+        return forgotten
+
+    def called(self, now, call, code, body):
+        raise AssertionError("it calls nobody")
+
+    def wake_at(self):
+        return self.again if self.desk.state.part("followers") else NEVER
+
+
+DUTIES = (Forgetting,)
+__all__ = ["DUTIES", "INNER", "KINDS", "MOST", "RULES", "Followers"]
--- a/lemonlead/ledger/seating.py
+++ b/lemonlead/ledger/seating.py
@@ -179,4 +179,27 @@
     return ""
 
 
-__all__ = ["KINDS", "RULES", "Add", "Remove", "Seating", "Terms", "formed", "may_join", "msgspec", "to_form"]
+def first_base(seats, name, base):
+    """The base that a seated member whose folder is still empty begins with, as one that is in the cluster
+    gives it: a learner with nothing, since the leader sends it the rest in pieces; one that votes with
+    `base`, the snapshot on the giver's disk. Were voters to begin with nothing, a majority of them could
+    elect each other and form the cluster a second time."""
+    seat = seats.get(name)
+    return base if seat is None or seat.votes else Base(0, 0, dict(seats))
+
+
+DUTIES = (Seating,)
+__all__ = [
+    "DUTIES",
+    "KINDS",
+    "RULES",
+    "Add",
+    "Remove",
+    "Seating",
+    "Terms",
+    "first_base",
+    "formed",
+    "may_join",
+    "msgspec",
+    "to_form",
+]
--- /dev/null
+++ b/lemonlead/member/host.py
@@ -0,0 +1,213 @@
+"""The loop that owns a desk. Whatever arrives is put into an inbox; a turn reads the clocks, hands it to the
+desk and does what the desk decides. Nothing here decides.
+
+A loop that was stopped (SIGSTOP, a long swap) finds its inbox and sockets full of what came meanwhile. Where
+a moment has passed at which the desk wanted to be asked, it is asked first, with the new moment, and only
+then given what had queued up."""
+
+import asyncio
+import time
+from collections import deque
+
+from ..ledger.desk import Desk
+from ..ledger.records import LEADER
+from . import whole
+
+MOST_INBOX = 4096  # messages of peers not yet handed on; past it the oldest is dropped
+MOST_AT_ONCE = 1000  # inputs, and decisions, in one turn; the rest is for the next, after the sockets
+
+
+class Host:
+    """`shelf`: the disk's thread. `peers`: sends. `caller`: asks other clusters. `broken(error)`: a turn
+    failed, which no part of the program foresees: nothing more is done, since what the desk knows may be
+    half."""
+
+    def __init__(self, told, kept, state, shelf, peers, caller, log, broken):
+        self.loop, self.shelf, self.peers = asyncio.get_running_loop(), shelf, peers
+        self.caller, self.log, self.broken = caller, log, broken
+        self.desk = Desk(told, kept, shelf.ledger, state, time.monotonic_ns())
+        self.desk.duties.extend(whole.duties(self.desk))
+        self.messages, self.inputs = deque(), deque()
+        self.soon = self.timer = None
+        self.wake, self.ended, self.office = 0, False, None
+        self.changed = asyncio.Event()  # set as the office changes
+        self.counts = {"messages": 0, "messages_dropped": 0, "turns": 0, "longest_late_ms": 0}
+        self.ask_turn()
+
+    # ---- what arrives; all of it waits for a turn
+
+    def heard(self, message):
+        if len(self.messages) >= MOST_INBOX:
+            self.messages.popleft()
+            self.counts["messages_dropped"] += 1
+        self.messages.append(message)
+        self.ask_turn()
+
+    def add(self, function, *arguments):
+        self.inputs.append((function, arguments))
+        self.ask_turn()
+
+    def command(self, data):
+        """The future of (code, body)."""
+        ticket = self.loop.create_future()
+        self.add(self.desk.command, data, ticket)
+        return ticket
+
+    def read(self):
+        """The future of (state or None, leader)."""
+        ticket = self.loop.create_future()
+        self.add(self.desk.read, ticket)
+        return ticket
+
+    def poll(self, after, gateway):
+        """The future of (events, at, state, leader)."""
+        ticket = self.loop.create_future()
+        self.add(self.desk.poll, after, gateway, ticket)
+        return ticket
+
+    def written(self, number, state=None):
+        self.add(self.desk.written, number, state)
+
+    def snapshot_kept(self, base):
+        self.add(self.desk.snapshot_kept, base)
+
+    def disk_failed(self, why):
+        self.log.error("disk failed", reason="disk", detail=why)
+        self.add(self.desk.disk_failed, why)
+
+    def called(self, call, code, body):
+        self.add(self.desk.called, call, code, body)
+
+    def hand_over(self):
+        self.add(self.desk.hand_over)
+
+    # ---- what is told of it
+
+    def address(self, name):
+        """host:port of a member, None where it has no seat."""
+        seat = self.desk.replica.seats.get(name)
+        return seat.address if seat else None
+
+    def age(self):
+        """Nanoseconds since the state here was last known to be what the cluster had committed."""
+        return time.monotonic_ns() - self.desk.replica.fresh
+
+    def bears(self):
+        """How many more losses the cluster bears, as a leader knows it; None where this does not lead."""
+        replica = self.desk.replica
+        if replica.role != LEADER:
+            return None
+        voters = {name for name, seat in replica.seats.items() if seat.votes}
+        return len(voters & set(replica.reached(time.monotonic_ns()))) - (len(voters) // 2 + 1)
+
+    def reason(self):
+        """Why this member takes no part, or an empty string."""
+        replica = self.desk.replica
+        if replica.failed:
+            return f"its disk failed: {replica.failed}"
+        if replica.name not in replica.seats:
+            return f"{replica.name} was removed from the cluster: it joins anew under a new name"
+        return ""
+
+    # ---- turns
+
+    def ask_turn(self):
+        if self.soon is None and not self.ended:
+            self.soon = self.loop.call_soon(self.turn)
+
+    def turn(self):
+        self.soon = None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.ended:
+            return
+        try:
+            self.do_turn()
+        except Exception as error:
+            self.end()
+            self.broken(error)
+
+    def do_turn(self):
+        self.counts["turns"] += 1
+        now = self.tell_time()
+        late = now - self.wake
+        more = False
+        if self.wake and late >= 0:
+            self.counts["longest_late_ms"] = max(self.counts["longest_late_ms"], late // 1_000_000)
+            more = self.pull(now)
+        for _ in range(MOST_AT_ONCE):
+            if self.inputs:
+                function, arguments = self.inputs.popleft()
+            elif self.messages:
+                function, arguments = self.desk.heard, (self.messages.popleft(),)
+                self.counts["messages"] += 1
+            else:
+                break
+            function(self.tell_time(), *arguments)
+        more = self.pull(self.tell_time()) or more
+        self.note_office()
+        now = time.monotonic_ns()
+        self.wake = self.desk.wake_at()
+        if more or self.inputs or self.messages:
+            self.ask_turn()
+        else:
+            self.timer = self.loop.call_later(max(self.wake - now, 0) / 1e9, self.ask_turn)
+
+    def tell_time(self):
+        now = time.monotonic_ns()
+        self.desk.told_time(now, time.time_ns() // 1_000_000)
+        return now
+
+    def pull(self, now):
+        """All that is decided as of now; whether something may be left."""
+        return all(self.desk.decide(now, self) for _ in range(MOST_AT_ONCE))
+
+    def note_office(self):
+        replica = self.desk.replica
+        office = replica.role, replica.term, replica.leader
+        if office != self.office:
+            self.office = office
+            self.changed.set()
+            self.log.info("office", role=replica.role, term=replica.term, leader=replica.leader)
+
+    def end(self):
+        self.ended = True
+        for handle in (self.soon, self.timer):
+            if handle is not None:
+                handle.cancel()
+
+    # ---- the desk's door
+
+    def send(self, message):
+        self.peers.send(message)
+
+    def write(self, write):
+        self.shelf.write(write, self)
+
+    def send_part(self, peer, message, most):
+        self.shelf.send_part(message, most, self.peers.send)
+
+    def take_part(self, message):
+        self.shelf.take_part(message, self)
+
+    def snapshot(self, state, base):
+        self.shelf.snapshot(state, base, self)
+
+    def answer(self, ticket, code, body):
+        settle(ticket, (code, body))
+
+    def readable(self, ticket, state, leader):
+        settle(ticket, (state, leader))
+
+    def polled(self, ticket, events, at, state, leader):
+        settle(ticket, (events, at, state, leader))
+
+    def call(self, call):
+        self.caller.call(call, self.called)
+
+
+def settle(ticket, value):
+    """Whoever asked may have gone away meanwhile."""
+    if not ticket.done():
+        ticket.set_result(value)
--- /dev/null
+++ b/lemonlead/member/run.py
@@ -0,0 +1,264 @@
+"""`lemonlead member`: one member from start to end. Exit codes: 0 ended by a signal, 1 broken, 2 settings,
+folder or address that cannot be used."""
+
+import asyncio
+import secrets
+import signal
+import socket
+import sys
+import time
+import traceback
+
+import structlog
+from aiohttp import web
+
+from ..ledger.faults import Unusable
+from ..ledger.records import LEADER, Told
+from ..ledger.seating import Greeting
+from . import disk, whole
+from . import told as settings
+from .asking import Asking
+from .faults import AddressTaken, Damaged
+from .forming import Forming
+from .host import Host
+from .outside import Outdoors
+from .peers import Peers
+from .shelf import Shelf
+
+MOST_CONNECTIONS = 4000  # past it a new one is closed at once
+BACKLOG = 512
+IDLE = 75  # seconds that a connection is kept without a call
+LINGER = 0.5  # seconds at the end for calls that are being answered
+DISK_TIME = 5  # seconds at the end for what is queued for the disk
+
+
+def main(path, joins=False):
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        cache_logger_on_first_use=True,
+    )
+    try:
+        told = settings.read(path)
+        folder = disk.open_folder(told.data, told.member, told.cluster)
+        listener = bound(told.listen)
+        return asyncio.run(run(told, joins, folder, listener))
+    except Unusable as error:
+        print(f"lemonlead member: {path}: {error.says}; {error.do}", file=sys.stderr)
+        return 2
+
+
+def bound(listen):
+    host, _, port = listen.rpartition(":")
+    try:
+        listener = socket.create_server((host, int(port)), backlog=BACKLOG)
+    except (OSError, ValueError, OverflowError) as error:
+        raise AddressTaken(f"listen {listen}: {getattr(error, 'strerror', None) or error}") from None
+    listener.setblocking(False)
+    return listener
+
+
+async def run(told, joins, folder, listener):
+    member = Member(told, joins, folder)
+    try:
+        if folder.cluster:
+            await member.enter()
+        await member.open(listener)
+        return await member.until_ended()
+    finally:
+        await member.close()
+
+
+class Member:
+    """What the process is, outside a cluster (`host` is None, `why` says why) or in one."""
+
+    def __init__(self, told, joins, folder):
+        self.told, self.name, self.joins, self.folder = told, told.member, joins, folder
+        self.log = structlog.get_logger(member=told.member)
+        self.seed, self.loop, self.ledger = secrets.randbits(48), asyncio.get_running_loop(), whole.ledger()
+        self.host, self.why, self.tasks, self.runner, self.server = None, "", set(), None, None
+        self.ending, self.code = asyncio.Event(), 0
+        times = told.times
+        self.asking = Asking(self.name, told.listen, told.clusters, max(times.election / 2e9, 0.25), 11)
+        self.peers = Peers(
+            self.name, told.listen, times, self.seed, self.address, lambda name: self.forming.hand(name)
+        )
+        self.shelf = Shelf(folder, self.ledger, self.tell)
+        self.forming = Forming(self, self.seed)
+        self.outdoors = Outdoors(self)
+
+    def tell(self, function, *arguments):
+        """From the disk's thread."""
+        if not self.loop.is_closed():
+            self.loop.call_soon_threadsafe(function, *arguments)
+
+    def on_disk(self, function, *arguments):
+        """The future of a call of the folder's, done by the disk's thread."""
+        future = self.loop.create_future()
+
+        def done(result, error):
+            if future.done():
+                return
+            if error is None:
+                future.set_result(result)
+            else:
+                future.set_exception(error)
+
+        self.shelf.ask(done, function, *arguments)
+        return future
+
+    def spawn(self, work):
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.spawned)
+
+    def spawned(self, task):
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.broken(task.exception())
+
+    def broken(self, error):
+        """What no part of the program foresees: the member ends, as if it were killed."""
+        told = "".join(traceback.format_exception(error))[-2000:]
+        self.log.error("broken", reason=type(error).__name__, detail=str(error)[:300], trace=told)
+        self.code = 1
+        self.ending.set()
+
+    # ---- who it is
+
+    def greeting(self):
+        return Greeting(self.name, self.folder.id, self.folder.cluster, self.joins)
+
+    def address(self, name):
+        return self.host.address(name) if self.host is not None else None
+
+    def tell_why(self, why):
+        if why != self.why:
+            self.why = why
+            self.log.info("outside", reason=why)
+
+    def heard(self, messages):
+        """Messages of peers; the status that answers them."""
+        if self.host is not None:
+            for message in messages:
+                self.host.heard(message)
+                self.peers.alive(message.sender)
+            return 204
+        mine = any(one.to == self.name and one.to_seal == self.folder.id for one in messages)
+        return 409 if mine else 204
+
+    async def enter(self):
+        """The folder is in a cluster: from here on the member takes part."""
+        kept, data = await self.on_disk(self.folder.kept)
+        try:
+            state = self.ledger.whole(data)
+        except ValueError as error:
+            raise Damaged(f"{self.told.data}: {error}") from None
+        times = self.told.times
+        told = Told(
+            self.folder.cluster,
+            self.name,
+            self.folder.id,
+            self.seed,
+            election=times.election,
+            heartbeat=times.heartbeat,
+        )
+        self.why = ""
+        self.host = Host(told, kept, state, self.shelf, self.peers, self.asking, self.log, self.broken)
+        last = self.host.desk.replica.last
+        self.log.info("in cluster", cluster_id=self.folder.cluster, at=state.index, last=last)
+
+    # ---- from start to end
+
+    async def open(self, listener):
+        self.runner = web.AppRunner(
+            self.outdoors.app, keepalive_timeout=IDLE, shutdown_timeout=LINGER, access_log=None
+        )
+        await self.runner.setup()
+        self.server = await self.loop.create_server(self.connection, sock=listener)
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(signum, self.ending.set)
+        self.loop.add_signal_handler(signal.SIGUSR1, self.log_counters)
+        if self.host is None:
+            self.spawn(self.forming.run())
+        self.log.info("ready", listen=self.told.listen, cluster=self.told.cluster, folder=self.folder.id)
+
+    def connection(self):
+        if len(self.runner.server.connections) >= MOST_CONNECTIONS:
+            return Closing()
+        return self.runner.server()
+
+    async def until_ended(self):
+        await self.ending.wait()
+        if self.code == 0:
+            self.log.info("stopping", open=self.outdoors.open)
+            await self.hand_over()
+        return self.code
+
+    async def hand_over(self):
+        """Leadership goes to another; in bounded time, since the rest elect one anyway."""
+        host = self.host
+        if host is None or host.desk.replica.role != LEADER:
+            return
+        replica, began = host.desk.replica, time.monotonic_ns()
+        if sum(seat.votes for seat in replica.seats.values()) > 1:
+            host.hand_over()
+            try:
+                async with asyncio.timeout(2 * self.told.times.election / 1e9):
+                    while replica.leader in ("", self.name):
+                        host.changed.clear()
+                        await host.changed.wait()
+            except TimeoutError:
+                pass
+        took = (time.monotonic_ns() - began) // 1_000_000
+        self.log.info("handed over", to=replica.leader, took_ms=took)
+
+    async def close(self):
+        """The listener first, so that whoever comes now knows that nothing was done."""
+        if self.server is not None:
+            self.server.close()
+            until = self.loop.time() + LINGER
+            while self.code == 0 and self.outdoors.open > self.outdoors.polls and self.loop.time() < until:
+                await asyncio.sleep(0.01)
+        if self.host is not None:
+            self.host.end()
+        for task in list(self.tasks):
+            task.cancel()
+        if self.runner is not None:
+            await self.runner.cleanup()
+        await self.peers.end()
+        await self.asking.end()
+        await asyncio.to_thread(self.shelf.end, DISK_TIME)
+        if not self.shelf.thread.is_alive():
+            self.folder.close()
+        if self.server is not None:
+            self.log_counters()
+            self.log.info("stopped", code=self.code)
+
+    def log_counters(self):
+        self.log.info("counters", **self.figures())
+
+    def figures(self):
+        """All counters and the length of each queue now."""
+        host, told = self.host, {}
+        tables = [("http", self.outdoors.counts), ("peers", self.peers.counts), ("disk", self.shelf.counts)]
+        tables += [("asked", self.asking.counts), ("forming", self.forming.counts)]
+        now = {"open": self.outdoors.open, "polls": self.outdoors.polls, "jobs": len(self.shelf.jobs)}
+        now["queued"] = sum(len(queue.messages) for queue in self.peers.queues.values())
+        now["connections"] = len(self.runner.server.connections) if self.runner.server else 0
+        if host is not None:
+            tables += [("loop", host.counts), ("desk", host.desk.counts), ("raft", host.desk.replica.counts)]
+            now.update(inbox=len(host.messages), inputs=len(host.inputs), held_events=host.desk.held)
+            now["ids"] = len(host.desk.state.answers)
+        for name, table in [*tables, ("now", now)]:
+            told.update({f"{name}_{what}".replace(" ", "_").replace(":", ""): n for what, n in table.items()})
+        return told
+
+
+class Closing(asyncio.Protocol):
+    def connection_made(self, transport):
+        transport.abort()
