--- a/lemonlead/member/faults.py
+++ b/lemonlead/member/faults.py
@@ -1,6 +1,7 @@
 """Errors of a member as a process. Each says what was found, and what an operator can do."""
 
 from ..ledger.faults import Fault, Unusable
+from ..ledger.records import NOT_DONE, UNKNOWN
 
 RENEW = "remove this member from the cluster, then start it with --join, an empty folder and a new name"
 
@@ -63,3 +64,47 @@
     """A write that a sound member never asks for, such as a second vote in a term. Nothing was written."""
 
     do = "stop this member and report it: its memory or its program is at fault"
+
+
+class AddressTaken(Unusable):
+    """`listen` cannot be listened on."""
+
+    do = "stop what listens there, or give this member an address of this machine that is free"
+
+
+class NotNow(Fault):
+    """A call that did not become an answer (503). `outcome`: whether it may yet be done."""
+
+    outcome = NOT_DONE
+    do = "ask again, here or at another member"
+
+
+class NoLeader(NotNow):
+    """Nobody is known to lead, or whoever does cannot be reached."""
+
+    do = "ask again; where it lasts, see that a majority of the members run and reach each other"
+
+
+class Outside(NotNow):
+    """This member takes no part in the cluster."""
+
+    do = "ask another member; status here says why this one is outside"
+
+
+class TooMany(NotNow):
+    """More calls at once than a member bears."""
+
+    do = "ask again after retry_ms, less often, or spread over the members"
+
+
+class Late(NotNow):
+    """The cluster did not answer in time."""
+
+    do = "ask again with the same id; where it lasts, see that a majority of the members run"
+
+
+class Undecided(NotNow):
+    """The command may yet be done, or never."""
+
+    outcome = UNKNOWN
+    do = "ask again with the same id: it is done once"
