--- a/lemonlead/ledger/office.py
+++ b/lemonlead/ledger/office.py
@@ -128,7 +128,9 @@
 
     def promote(self, now):
         """A learner that has caught up gets its vote."""
-        seats = self.log.seats[-1][1]
+        seats = self.replica.seats
+        if len(seats) == len(self.replica.voters):
+            return False
         for name, seat in seats.items():
             peer = self.peers.get(name)
             if not seat.votes and peer is not None and peer.caught and peer.mode == STREAM:
@@ -318,7 +320,7 @@
             prev_index=prev,
             prev_term=term,
             entries=entries,
-            committed=0 if peer.mode == SNAPSHOT else self.replica.committed,
+            committed=self.replica.committed,
             round=self.round,
         )
         door.send(message)
--- a/lemonlead/ledger/replica.py
+++ b/lemonlead/ledger/replica.py
@@ -2,14 +2,15 @@
 snapshots in pieces and reads without a log write. It is fed messages and moments, and asked for decisions;
 it does no I/O and reads no clock. Chapters named are those of Ongaro's dissertation.
 
-Here: terms, votes, what a follower does. `office.py`: what a leader does; `peers.py`: what it knows of each
-peer; `log.py`: the log in memory and on its way to disk."""
+Here: terms, who is who, what goes out and when. `standing.py`: elections; `following.py`: what a follower
+takes from its leader; `office.py`: what a leader does; `peers.py`: what it knows of each peer; `log.py`: the
+log in memory and on its way to disk."""
 
 from collections import deque
 from random import Random
 
-from .log import BIGGEST, Log, Paper, sound
-from .office import Office
+from .following import Following
+from .log import BIGGEST, Log, Paper
 from .records import (
     CANDIDATE,
     FOLLOWER,
@@ -26,12 +27,10 @@
     Parted,
     TakeOver,
 )
+from .standing import canvassed, stand, take_over
 
 MOST_OUT = 1024  # messages that wait for the host to take them or for the disk; past it one is lost
-MOST_BACKLOG = 4096  # entries that the disk has not been given; past it a follower takes none
-MOST_PARTS = 16  # pieces of a snapshot that the host has not taken; past it none is
 MOST_COMMIT = 256  # entries in one call of `commit`
-SLOW_DISK = 2  # election times that one Write may take before this member does not stand
 STRETCH = 4  # times `keep` that are kept at most for a peer that is being sent a snapshot
 
 
@@ -57,11 +56,9 @@
         self.office, self.tickets = None, deque()  # tickets of an office left, whose entries are committed
         self.ends, self.out, self.held = deque(), deque(), {}  # held: messages that wait for a Write
         self.term_after = 0  # the Write that moved the term to disk
-        self.voted_seal = self.leader_seal = ""
-        self.early, self.handed, self.ballots = False, False, set()
-        self.heard_leader, self.behind = now - told.election, None
-        self.verified, self.round, self.acked = self.committed, -1, 0  # of the leader of this term
-        self.gathering, self.parts = None, deque()  # (base, term of its leader, next offset)
+        self.voted_seal, self.leader_seal = "", ""
+        self.heard_leader = now - told.election
+        self.following, self.candidacy = Following(self), None
         self.seats, self.voters, self.quorum = {}, [], 1
         self.fresh_seats()
         self.listen(now)
@@ -93,7 +90,7 @@
             return
         kind = type(message)
         if kind is Canvass:
-            return self.canvassed(now, message)
+            return canvassed(self, now, message)
         if message.term > self.term:
             if kind is Ballot and message.given:
                 return self.count("garbled")
@@ -108,13 +105,16 @@
             if self.role == LEADER or self.leader not in ("", message.sender):
                 return self.count("garbled")
             self.follow(now, message)
-            return self.append(now, message) if kind is Append else self.part(now, message)
+            following = self.following
+            return following.append(now, message) if kind is Append else following.part(message)
         if kind is Ballot:
-            return self.ballot(now, message)
+            if self.candidacy is not None:
+                self.candidacy.ballot(now, message)
+            return
         if message.term < self.term:
             return
         if kind is TakeOver:
-            self.take_over(now, message)
+            take_over(self, now, message)
         elif self.office is not None:
             self.office.appended(now, message)
 
@@ -159,10 +159,10 @@
             self.put(self.held.pop(key)[1])
         if self.office is not None:
             return self.office.settle(now)
-        if self.role == CANDIDATE:
-            return self.elect(now)
-        if self.leader and min(self.verified, self.paper.held) > self.acked:
-            self.acknowledge()
+        if self.candidacy is not None:
+            return self.candidacy.elect(now)
+        if self.leader:
+            self.following.written()
 
     def disk_failed(self, now, why):
         """The disk failed: this member gives leadership up, votes for nobody and acknowledges nothing any
@@ -177,8 +177,7 @@
         self.tickets.clear()
         self.out.clear()
         self.held.clear()
-        self.parts.clear()
-        self.role = FOLLOWER
+        self.following.parts.clear()
 
     def compacted(self, now, base):
         """The host holds a snapshot of the state as of `base` on disk: entries up to it need not be kept."""
@@ -203,13 +202,15 @@
             if self.office.decide(now, door):
                 return True
         elif now >= self.deadline:
-            self.stand(now)
+            stand(self, now)
+            return True
+        elif self.candidacy is not None and self.candidacy.decide(now):
             return True
         if self.out:
             door.send(self.out.popleft())
             return True
-        if self.parts:
-            door.take_part(self.parts.popleft())
+        if self.following.parts:
+            door.take_part(self.following.parts.popleft())
             return True
         write = self.paper.take(now, self.term, self.voted, self.log)
         if write is not None:
@@ -225,7 +226,11 @@
             return self.now
         if self.failed:
             return latest
-        return min(latest, self.deadline if self.office is None else self.office.wake_at())
+        if self.office is not None:
+            return min(latest, self.office.wake_at())
+        if self.candidacy is not None:
+            latest = min(latest, self.candidacy.again)
+        return min(latest, self.deadline)
 
     def end(self, door):
         index, ticket, outcome, leader = self.ends.popleft()
@@ -249,8 +254,7 @@
             self.ends.append((index, ticket, "", ""))
         if self.office is not None:
             self.office.applied(upto)
-        if self.behind and self.behind[0] <= upto:
-            self.fresh, self.behind = max(self.fresh, self.behind[1]), None
+        self.following.applied()
         return True
 
     # ---- time
@@ -261,8 +265,7 @@
         gap, self.now = now - self.now, max(now, self.now)
         if gap > self.told.election:
             self.count("stalled")
-            if self.office is not None or self.role == CANDIDATE:
-                self.step_down(now)
+            self.step_down(now)
             self.listen(now)
 
     def listen(self, now):
@@ -373,217 +376,32 @@
         self.term, self.voted, self.voted_seal = term, voted, self.told.folder if voted else ""
         self.paper.marked, self.term_after = True, self.paper.next
         self.held.clear()
-        self.leader, self.verified, self.round, self.acked = "", self.committed, -1, 0
+        self.leader = ""
+        self.following.begin()
+
+    def vote(self, now, message):
+        """One vote a term. The ballot goes out once it is on disk."""
+        self.voted, self.voted_seal = message.sender, message.seal
+        self.paper.marked, self.term_after = True, self.paper.next
+        self.listen(now)
 
     def step_down(self, now):
         """To follower; whoever waits is refused."""
-        office, self.office = self.office, None
+        office, self.office, self.candidacy = self.office, None, None
         if office is not None:
             self.leader = ""
             self.tickets.extend(office.close())
-        if office is not None or self.role == CANDIDATE:
-            self.role = FOLLOWER
+        if self.role in (LEADER, CANDIDATE):
             self.listen(now)
         self.role = self.rest()
 
     def follow(self, now, message):
-        if self.role == CANDIDATE:
+        if self.candidacy is not None:
             self.step_down(now)
         self.leader, self.leader_seal, self.heard_leader = message.sender, message.seal, now
         self.listen(now)
 
-    # ---- elections
-
-    def stand(self, now):
-        """Nothing was heard for long: asks whether it would be voted for, before it moves the term (9.6)."""
-        self.listen(now)
-        if not self.may_stand() or self.paper.slow(now, SLOW_DISK * self.told.election):
-            self.leader = ""
-            return self.step_down(now)
-        self.count("stood")
-        self.role, self.leader = CANDIDATE, ""
-        self.early, self.handed, self.ballots = True, False, {self.name}
-        self.canvass()
-        self.elect(now)
-
-    def stand_now(self, now, handed):
-        """The election itself. The vote for oneself counts once it is on disk, as any other."""
-        self.role, self.early, self.handed, self.ballots = CANDIDATE, False, handed, {self.name}
-        self.begin(self.term + 1, self.name)
-        self.listen(now)
-        self.canvass()
-
-    def canvass(self):
-        told, log = self.told, self.log
-        for name in self.voters:
-            if name != self.name:
-                message = Canvass(
-                    told.cluster, told.name, told.folder, name, self.seats[name].folder, self.term,
-                    last_index=log.last, last_term=log.last_term, early=self.early, handed=self.handed,
-                )  # fmt: skip
-                self.post(message)
-
-    def take_over(self, now, message):
-        if self.office is None and self.may_stand() and message.sender == self.leader:
-            self.count("took over")
-            self.stand_now(now, True)
-
-    def canvassed(self, now, message):
-        """Someone stands. While a leader is heard of, that changes nothing here (4.2.3), unless the leader
-        itself asked for it."""
-        if self.office is not None:
-            self.office.canvassed(now, message.sender)
-        led = self.office is not None or (self.leader and now - self.heard_leader < self.told.election)
-        if message.term < self.term:
-            return self.reply(message, Ballot, early=message.early)
-        if led and not message.handed:
-            return self.count("canvass while led")
-        if message.term > self.term and not message.early:
-            self.adopt(now, message.term)
-        if self.rest() == OUTSIDE or self.paper.base is not None:
-            return
-        ahead = (message.last_term, message.last_index) >= (self.log.last_term, self.log.last)
-        if message.early:
-            return self.reply(message, Ballot, given=ahead, early=True)
-        again = self.voted == message.sender and self.voted_seal in ("", message.seal)
-        if ahead and not self.voted and self.role not in (LEADER, CANDIDATE):
-            self.voted, self.voted_seal = message.sender, message.seal
-            self.paper.marked, self.term_after = True, self.paper.next
-            self.listen(now)
-            again = True
-        self.reply(message, Ballot, given=again)
-
-    def ballot(self, now, message):
-        seat = self.seats.get(message.sender)
-        if self.role != CANDIDATE or message.early != self.early or seat is None or not seat.votes:
-            return
-        if message.given and (message.early or message.term == self.term):
-            self.ballots.add(message.sender)
-            self.elect(now)
-
-    def elect(self, now):
-        """Goes on where a majority gave its vote."""
-        given = [
-            name
-            for name in self.voters
-            if name in self.ballots
-            and (name != self.name or self.early or self.term_after <= self.paper.done)
-        ]
-        if len(given) < self.quorum:
-            return
-        if self.early:
-            return self.stand_now(now, False)
-        self.count("elected")
-        self.role, self.leader = LEADER, self.name
-        self.office = Office(self, now)
-
-    # ---- what the leader sends
-
-    def append(self, now, message):
-        log, prev, entries = self.log, message.prev_index, message.entries
-        new_round = message.round > self.round
-        self.round = max(self.round, message.round)
-        if self.paper.base is not None:  # a snapshot is on its way to disk
-            return self.reply(message, Appended, match=self.committed, round=self.round)
-        if prev < 0 or not in_order(prev, message.prev_term, entries, message.term):
-            return self.count("garbled")
-        if prev > log.last:
-            return self.reply(message, Appended, match=log.last, round=self.round)
-        if prev >= log.first - 1 and log.term(prev) != message.prev_term:
-            if prev <= self.committed:
-                return self.count("garbled")
-            hint = max(log.run_start(prev) - 1, self.verified)
-            return self.reply(message, Appended, match=min(hint, prev - 1), round=self.round)
-        upto = prev
-        if entries:
-            upto = self.take(prev, entries)
-            if upto is None:
-                return self.count("garbled")
-        self.verified = max(self.verified, upto)
-        if message.committed > self.committed and self.verified > self.committed:
-            self.committed = min(message.committed, self.verified)
-        if self.behind is None or message.committed < self.behind[0]:
-            self.behind = message.committed, self.behind[1] if self.behind else now
-        if self.behind[0] <= self.applied:
-            self.fresh, self.behind = max(self.fresh, self.behind[1]), None
-        if new_round or not entries or self.paper.held >= upto:
-            self.acknowledge()
-
-    def take(self, prev, entries):
-        """Puts entries after `prev`, which fits, where they are not there yet; cuts a tail that another
-        leader left. The index that the log now fits up to; None where they would undo what is committed."""
-        log = self.log
-        at = known = min(log.last - prev, len(entries))
-        for place in range(known):
-            entry = entries[place]
-            held = log.term(entry.index)
-            if held != entry.term and (held is not None or entry.index >= log.first):
-                if entry.index <= self.committed:
-                    return None
-                at = place
-                break
-        new = entries[at:]
-        if not new:
-            return prev + len(entries)
-        if log.last - self.paper.given + len(new) > MOST_BACKLOG:
-            self.count("not taken: backlog")
-            return prev + at
-        if not all(map(sound, new)):
-            return None
-        seats = log.seats[-1]
-        if new[0].index <= log.last:
-            self.count("tails cut")
-            log.cut(new[0].index)
-            self.paper.cut(new[0].index)
-        log.extend(new)
-        if seats is not log.seats[-1]:
-            self.fresh_seats()
-        elif self.role == OUTSIDE:
-            self.role = self.rest()
-        return new[-1].index
-
-    def acknowledge(self):
-        """Tells the leader of this term how far this disk holds its log."""
-        told = self.told
-        self.acked = min(self.verified, self.paper.held)
-        seal = self.leader_seal
-        self.post(
-            Appended(
-                told.cluster, told.name, told.folder, self.leader, seal, self.term,
-                fits=True, match=self.acked, round=self.round,
-            )
-        )  # fmt: skip
-
-    def part(self, now, message):
-        """A piece of a snapshot: taken in order, repeats dropped, the wanted offset told."""
-        base, round = message.base, message.round
-        self.round = max(self.round, round)
-        if not (0 < base.index < BIGGEST and 0 < base.term <= message.term and base.members):
-            return self.count("garbled")
-        if base.index <= self.committed:
-            if base.index <= self.paper.held:
-                self.reply(message, Parted, base_index=base.index, done=True, round=round)
-            return
-        if self.paper.base is not None:
-            return
-        if self.gathering is None or self.gathering[:2] != (base, self.term):
-            if self.gathering and self.gathering[1] == self.term and base.index < self.gathering[0].index:
-                return  # a late one, of a snapshot that its leader has given up
-            if message.offset:
-                return self.reply(message, Parted, base_index=base.index, round=round)
-            self.gathering = base, self.term, 0
-        offset = self.gathering[2]
-        if message.offset == offset and (message.data or message.last):
-            if len(self.parts) >= MOST_PARTS:
-                return self.count("not taken: parts")
-            offset += len(message.data)
-            self.parts.append(message)
-            self.gathering = base, self.term, offset
-            if message.last:
-                self.gathering, self.paper.base = None, base
-                self.behind = None
-                return
-        self.reply(message, Parted, base_index=base.index, offset=offset, round=round)
+    # ---- snapshots
 
     def install(self, base):
         """The snapshot is on disk and in force."""
@@ -598,7 +416,9 @@
         self.base = base
         self.committed = max(self.committed, base.index)
         self.applied = max(self.applied, base.index)
-        self.verified = max(self.verified, base.index)
+        self.following.verified = max(self.following.verified, base.index)
+        while self.tickets and self.tickets[0][0] <= base.index:  # what they came to is not known here
+            self.refuse(self.tickets.popleft()[1], UNKNOWN)
         self.fresh_seats()
         self.trim()
 
@@ -610,15 +430,3 @@
         if self.office is not None:
             upto = max(min(upto, self.office.needed()), self.base.index - STRETCH * keep)
         self.log.drop(upto, self.base)
-
-
-def in_order(prev, prev_term, entries, term):
-    """Whether entries follow on each other and on `prev`, none of a later term than the message's."""
-    before = prev_term
-    for entry in entries:
-        prev += 1
-        if entry.index != prev or not before <= entry.term <= term:
-            return False
-        before = entry.term
-    return 0 <= prev_term <= term and prev < BIGGEST
-
--- /dev/null
+++ b/tests/replicas.py
@@ -0,0 +1,308 @@
+"""Builds replicas in the state that a test needs, and a small network of them in simulated time."""
+
+import random
+
+import msgspec
+
+from lemonlead.ledger import records as r
+from lemonlead.ledger.replica import Replica
+
+MS = 1_000_000
+NOW = 1_000_000 * MS
+ELECTION, BEAT = 1000 * MS, 150 * MS
+
+
+def seats(names="abc", learners=""):
+    return {name: r.Seat(f"127.0.0.1:{ord(name)}", f"folder-{name}", name not in learners) for name in names}
+
+
+def entry(index, term, what=r.COMMAND, data=b"{}", moment=0):
+    return r.Entry(index, term, what, moment, 0, data)
+
+
+def members_entry(index, term, wanted):
+    return entry(index, term, r.MEMBERS, msgspec.json.encode(wanted))
+
+
+def entries(terms, start=2):
+    """Entries of these terms from index 2 on: the base is index 1, term 1."""
+    return [entry(start + at, term) for at, term in enumerate(terms)]
+
+
+def told(name="a", **more):
+    return r.Told("c1", name, f"folder-{name}", 7, **more)
+
+
+def made(name="a", names="abc", learners="", terms=(), term=None, voted="", log=None, **more):
+    """A replica that has just started, with entries of these terms in its log."""
+    log = entries(terms) if log is None else log
+    term = term or max([1, *(one.term for one in log)])
+    kept = r.Kept(term, voted, r.Base(1, 1, seats(names, learners)), log)
+    return Replica(told(name, **more), kept, NOW)
+
+
+def message(kind, sender, to="a", term=1, **fields):
+    return kind("c1", sender, f"folder-{sender}", to, f"folder-{to}", term, **fields)
+
+
+class Host:
+    """A door that writes down what it is asked. `sync`: each Write is on disk at once."""
+
+    def __init__(self):
+        self.sent, self.writes, self.applied, self.ends, self.parts = [], [], [], {}, []
+
+    def send(self, sent):
+        self.sent.append(sent)
+
+    def write(self, write):
+        self.writes.append(write)
+
+    def commit(self, some):
+        self.applied += some
+
+    def end(self, ticket, how):
+        assert ticket not in self.ends, "ended twice"
+        self.ends[ticket] = how
+
+    def answer(self, ticket, index):
+        self.end(ticket, index)
+
+    def readable(self, ticket):
+        self.end(ticket, "readable")
+
+    def refuse(self, ticket, outcome, leader):
+        self.end(ticket, outcome)
+
+    def send_part(self, peer, part, most):
+        self.sent.append(part)
+
+    def take_part(self, part):
+        self.parts.append(part)
+
+    def kinds(self):
+        return [type(sent) for sent in self.sent]
+
+    def pull(self, replica, now, sync=True):
+        """All that is decided; what was sent by it."""
+        self.sent, turns = [], 0
+        while True:
+            while replica.decide(now, self):
+                turns += 1
+                assert turns < 20_000, "decides without end"
+            if not sync or not self.writes:
+                return self.sent
+            number, self.writes = self.writes[-1].number, []
+            replica.written(now, number)
+
+
+def elected(replica, host, now=None, sync=True):
+    """Makes it the leader of the next term by its peers' ballots; the moment of it."""
+    now = now or replica.deadline
+    for at in range(replica.now, now, ELECTION // 2):
+        replica.tick(at)
+    replica.deadline = now
+    host.pull(replica, now, sync=True)
+    for early in (True, False):
+        for name in replica.voters:
+            if name != replica.name and replica.candidacy is not None:
+                replica.heard(
+                    now,
+                    message(r.Ballot, name, replica.name, replica.term, given=True, early=early),
+                )
+                if replica.candidacy is not None and replica.candidacy.early is not early:
+                    break
+        host.pull(replica, now, sync=sync or early)
+    assert replica.role == r.LEADER
+    return now
+
+
+def ack(replica, now, name, match=None, round=None, **more):
+    """A peer's answer to all that it was sent."""
+    match = replica.last if match is None else match
+    round = replica.office.round if round is None else round
+    fields = {"fits": True, "match": match, "round": round, **more}
+    replica.heard(now, message(r.Appended, name, replica.name, replica.term, **fields))
+
+
+class Member:
+    """One of a network: its replica, its disk, and a snapshot that is the list of what was applied."""
+
+    def __init__(self, net, name, kept, **more):
+        self.net, self.name, self.more = net, name, more
+        self.disk = kept
+        self.snapshots = {kept.base.index: b""}  # index to bytes
+        self.start()
+
+    def start(self):
+        self.replica = Replica(told(self.name, **self.more), self.disk_copy(), self.net.now)
+        self.writes, self.state, self.taken = [], self.snapshots[self.disk.base.index], b""
+        self.frozen, self.up = False, True
+
+    def disk_copy(self):
+        return r.Kept(self.disk.term, self.disk.voted, self.disk.base, list(self.disk.entries))
+
+    # the door
+
+    def send(self, sent):
+        self.net.send(sent)
+
+    def write(self, write):
+        delay = self.net.chance.randrange(self.net.disk + 1)
+        last = self.writes[-1][0] if self.writes else 0
+        self.writes.append((max(self.net.now + delay, last), write))
+
+    def commit(self, some):
+        for one in some:
+            assert one.index == self.at + 1
+            self.state += b"%d/%d " % (one.index, one.term)
+            assert self.net.history.setdefault(one.index, one) == one, "two commits at one index"
+
+    @property
+    def at(self):
+        return int(self.state.split()[-1].split(b"/")[0]) if self.state else 1
+
+    def answer(self, ticket, index):
+        self.net.end(ticket, index)
+
+    def readable(self, ticket):
+        self.net.end(ticket, ("readable", self.at))
+
+    def refuse(self, ticket, outcome, leader):
+        self.net.end(ticket, outcome)
+
+    def send_part(self, peer, part, most):
+        data = self.snapshots.get(part.base.index)
+        if data is not None:
+            piece = data[part.offset : part.offset + most]
+            last = part.offset + most >= len(data)
+            self.net.send(msgspec.structs.replace(part, data=piece, last=last))
+
+    def take_part(self, part):
+        self.taken = (b"" if part.offset == 0 else self.taken) + part.data
+
+    # the machine
+
+    def turn(self):
+        now = self.net.now
+        if not self.up or self.frozen:
+            return
+        while self.writes and self.writes[0][0] <= now:
+            self.to_disk(self.writes.pop(0)[1])
+        while self.replica.decide(now, self):
+            pass
+
+    def to_disk(self, write):
+        disk = self.disk
+        disk.term, disk.voted = write.term, write.voted
+        if write.cut is not None:
+            disk.entries = [one for one in disk.entries if one.index < write.cut]
+        disk.entries += [one for one in write.entries if one.index > disk.base.index]
+        if write.base is not None:
+            disk.base = write.base
+            disk.entries = [one for one in disk.entries if one.index > write.base.index]
+            self.snapshots[write.base.index] = self.state = self.taken
+        assert [one.index for one in disk.entries] == [
+            disk.base.index + 1 + at for at in range(len(disk.entries))
+        ]
+        self.replica.written(self.net.now, write.number)
+
+    def compact(self):
+        """A snapshot of what is applied."""
+        if self.at <= self.disk.base.index or self.replica.paper.base:
+            return
+        while self.writes:
+            self.to_disk(self.writes.pop(0)[1])
+        applied = self.net.history[self.at]
+        base = r.Base(applied.index, applied.term, self.replica.seats_at(applied.index), applied.moment)
+        self.disk.base = base
+        self.disk.entries = [one for one in self.disk.entries if one.index > base.index]
+        self.snapshots = {base.index: self.state}
+        self.replica.compacted(self.net.now, base)
+
+    def kill(self):
+        """At once; Writes that are out are lost."""
+        self.up, self.writes = False, []
+
+
+class Net:
+    """`cuts`: set of (sender, to) whose messages are lost."""
+
+    def __init__(self, names="abc", seed=1, learners="", **more):
+        self.now, self.chance, self.delay, self.disk = NOW, random.Random(seed), 2 * MS, 1 * MS
+        self.lost = self.twice = 0.0  # shares of messages
+        self.wire, self.cuts, self.ends, self.history, self.log = [], set(), {}, {}, []
+        more.setdefault("most_bytes", 512)
+        self.more = more
+        self.members = {}
+        for name in names:
+            self.add(name, r.Kept(1, "", r.Base(1, 1, seats(names, learners))))
+
+    def add(self, name, kept=None):
+        self.members[name] = Member(self, name, kept or r.Kept(), **self.more)
+
+    def __getitem__(self, name):
+        return self.members[name].replica
+
+    def send(self, sent):
+        self.log.append(sent)
+        for _ in range(1 + (self.chance.random() < self.twice)):
+            if (sent.sender, sent.to) not in self.cuts and self.chance.random() >= self.lost:
+                at = self.now + self.chance.randrange(self.delay // 2, self.delay + 1)
+                self.wire.append((at, sent))
+
+    def end(self, ticket, how):
+        assert ticket not in self.ends, "ended twice"
+        self.ends[ticket] = how
+
+    def step(self, dt=1 * MS):
+        self.now += dt
+        due = [sent for at, sent in self.wire if at <= self.now]
+        self.wire = [(at, sent) for at, sent in self.wire if at > self.now]
+        for sent in due:
+            member = self.members.get(sent.to)
+            if member is not None and member.up and not member.frozen:
+                member.replica.heard(self.now, sent)
+        for member in self.members.values():
+            member.turn()
+        leading = [m.replica.term for m in self.members.values() if m.up and m.replica.role == r.LEADER]
+        assert len(set(leading)) == len(leading), "two leaders of one term"
+
+    def run(self, until, within=20_000):
+        """Steps of a millisecond until the condition holds."""
+        for _ in range(within):
+            if until():
+                return
+            self.step()
+        raise AssertionError("it did not come to that")
+
+    def pause(self, ms):
+        for _ in range(ms):
+            self.step()
+
+    def leader(self):
+        """The name of the one that leads in the greatest term and has an entry of it committed."""
+        up = [m.replica for m in self.members.values() if m.up and not m.frozen]
+        best = max((one for one in up if one.role == r.LEADER), key=lambda one: one.term, default=None)
+        if best is not None and best.office.first <= best.committed:
+            return best.name
+        return None
+
+    def lead(self):
+        """Runs until there is a leader; its replica."""
+        self.run(self.leader)
+        return self[self.leader()]
+
+    def cut_off(self, *names):
+        for name in names:
+            self.cuts |= {(name, other) for other in self.members if other not in names}
+            self.cuts |= {(other, name) for other in self.members if other not in names}
+
+    def propose(self, ticket, leader=None):
+        (leader or self.lead()).propose(self.now, 0, b"{}", ticket)
+
+    def same(self):
+        """Whether all that are up have applied the same, all of it."""
+        states = {m.state for m in self.members.values() if m.up}
+        return len(states) == 1 and max(m.replica.committed for m in self.members.values() if m.up) in {
+            m.at for m in self.members.values() if m.up
+        }
