--- /dev/null
+++ b/lemonlead/standins/simulated/schedules.py
@@ -0,0 +1,417 @@
+"""Lists of troubles: drawn from a seed, played in a world with all judges, shrunk to the shortest that still
+fails. A Schedule prints as Python that plays it again."""
+
+import random
+from dataclasses import dataclass, replace
+
+from lemonlead.ledger import capacity, seating
+from lemonlead.ledger.state import Ledger
+
+from .checks import Promises, Seeing, all_judges
+from .clients import Asking, Client, Operator, command
+from .disks import Held
+from .history import Undecided
+from .hosts import Cluster, Host, plain_desk
+from .world import MS, SECOND, Broken, World
+
+SPAN = 7_000  # milliseconds in which troubles begin
+HEALS = 2_500  # after the span all is healed
+SERVES = 25_000  # and within so many milliseconds more all of it serves again
+SITES = ("louis", "ebene")
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """`at`, `length`: milliseconds. `whom`: 0 for whoever leads then, else the so-maniest of the others by
+    name. `more`: what else the kind asks for."""
+
+    at: int
+    kind: str
+    whom: int = 0
+    length: int = 0
+    more: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    seed: int
+    members: int
+    troubles: tuple
+
+
+@dataclass(slots=True)
+class Played:
+    """How a schedule came out. `broken`: None where every judge is content."""
+
+    schedule: Schedule
+    broken: Broken | None
+    counts: dict
+    undecided: int = 0
+
+
+# ---- drawing
+
+KINDS = {  # kind: (weight, least length, most length)
+    "kill": (10, 100, 3000),
+    "kill_within": (6, 100, 1500),
+    "kill_long": (2, 4000, 7000),
+    "pause": (7, 300, 3500),
+    "wipe": (6, 100, 2000),
+    "impostor": (3, 300, 2500),
+    "cut": (6, 500, 3500),
+    "cut_out": (4, 500, 3000),
+    "cut_in": (4, 500, 3000),
+    "cut_pair": (4, 500, 3000),
+    "split": (4, 500, 3500),
+    "lossy": (4, 500, 3000),
+    "twice": (3, 500, 3000),
+    "late": (4, 500, 3000),
+    "garbled": (3, 500, 3000),
+    "slow_disk": (4, 500, 3000),
+    "stalled_disk": (3, 500, 2500),
+    "broken_disk": (4, 300, 2500),
+    "jump": (2, 0, 0),
+    "rolling": (2, 100, 600),
+    "all": (3, 50, 1500),
+    "burst": (3, 0, 0),
+    "hand_over": (4, 0, 0),
+}
+
+
+def draw(seed, kinds=None):
+    chance = random.Random(f"schedule {seed}")
+    names = sorted(kinds or KINDS)
+    weights = [KINDS[name][0] for name in names]
+    troubles = []
+    for _ in range(chance.randint(2, 7)):
+        kind = chance.choices(names, weights)[0]
+        _, least, most = KINDS[kind]
+        at, whom = chance.randint(0, SPAN), 0 if chance.random() < 0.45 else chance.randint(1, 4)
+        troubles.append(Trouble(at, kind, whom, chance.randint(least, most), chance.randrange(1000)))
+    troubles.sort(key=lambda trouble: trouble.at)
+    return Schedule(seed, 5 if chance.random() < 0.15 else 3, tuple(troubles))
+
+
+# ---- playing
+
+
+def plain_ledger():
+    return Ledger({**capacity.RULES, **seating.RULES}, {**capacity.KINDS, **seating.KINDS})
+
+
+class Play:
+    """One world with one cluster, four clients at two sites, an operator, and the troubles of a schedule.
+    `setup`: function(play), called before it starts, may add actors, clusters and judges."""
+
+    def __init__(self, schedule, make_desk=plain_desk, setup=None, **more):
+        self.schedule = schedule
+        self.world = World(schedule.seed)
+        ledger = plain_ledger()
+        names = [f"g{number + 1}" for number in range(schedule.members)]
+        self.judges = all_judges(ledger)
+        self.cluster = Cluster(
+            self.world, "c", names, ledger, self.judges, make_desk=make_desk, **{"told": short, **more}
+        )
+        self.operator = Operator(self.cluster, schedule.seed)
+        until = (SPAN + HEALS) * MS
+        self.clients = [
+            Client(self.cluster, f"client{number}", SITES[number % 2], schedule.seed, until)
+            for number in range(4)
+        ]
+        self.probes, self.impostors = [], []
+        if setup:
+            setup(self)
+
+    def run(self):
+        world = self.world
+        for site, client in zip(SITES, self.clients, strict=False):
+            client.ask("node", f"{site}-n", 10, lambda: None)
+        for client in self.clients:
+            world.add(client)
+        for trouble in self.schedule.troubles:
+            world.after(trouble.at * MS, self.befall, trouble)
+        world.run((SPAN + HEALS) * MS)
+        self.heal()
+        started = world.now
+        if not world.run(started + SERVES * MS, self.serves):
+            raise Broken("Live", f"does not serve again: {self.why()}", world.now)
+        world.counts["slowest to serve again, ms"] = (world.now - started) // MS
+        for judge in self.judges:
+            judge.ended()
+        self.one(Promises).not_done(
+            [asking for client in self.clients for asking in client.askings] + self.operator.askings
+        )
+        self.one(Seeing).judge(self.clients)
+
+    def one(self, kind):
+        return next(judge for judge in self.judges if isinstance(judge, kind))
+
+    # ---- the end: all is healed, and has to serve
+
+    def heal(self):
+        self.world.network.heal()
+        for host in self.impostors:
+            host.wipe()
+        for host in list(self.cluster.hosts.values()):
+            if host.gone:
+                continue
+            if host.disk.broken:
+                host.kill()
+            host.disk.heal()
+            host.dies_in = None
+            host.go_on()
+            host.start()
+        for site in SITES:
+            self.probe(site, 0)
+
+    def probe(self, site, number):
+        """A read by a new client of each site, again until it is answered."""
+        client = Client(self.cluster, f"probe-{site}", site, self.schedule.seed, 0)
+        self.clients.append(client)
+        self.probes.append(client)
+        client.ask("read", "", 0, lambda: None)
+        self.world.after(3 * SECOND, self.again, client)
+
+    def again(self, client):
+        if not any(call.result != "unknown" for call in client.seen):
+            client.ask("read", "", 0, lambda: None)
+            self.world.after(3 * SECOND, self.again, client)
+
+    def serves(self):
+        return not self.why()
+
+    def why(self):
+        """What is lacking until all serves again; empty once it does."""
+        if self.operator.busy:
+            return "the lost machine is not made up for"
+        for client in self.probes:
+            if all(call.result == "unknown" for call in client.seen):
+                return f"{client.name} has no answer"
+        last = self.judges[0].last
+        for host in self.cluster.hosts.values():
+            if not host.gone and (host.desk is None or host.desk.state.index < last):
+                return f"{host.name} is at {host.desk and host.desk.state.index}, {last} is committed"
+        return ""
+
+    # ---- troubles
+
+    def befall(self, trouble):
+        host = self.whom(trouble.whom)
+        if host is None:
+            return
+        self.world.count(f"trouble: {trouble.kind}")
+        getattr(self, trouble.kind)(host, trouble)
+
+    def whom(self, number):
+        hosts = [host for _, host in sorted(self.cluster.hosts.items()) if not host.gone]
+        leader = self.cluster.leader()
+        if number == 0 and leader is not None and not leader.gone:
+            return leader
+        others = [host for host in hosts if host is not leader]
+        return others[number % len(others)] if others else None
+
+    def later(self, trouble, function, *args):
+        self.world.after(trouble.length * MS, function, *args)
+
+    def kill(self, host, trouble):
+        host.kill()
+        self.later(trouble, host.start)
+
+    kill_long = kill
+
+    def kill_within(self, host, trouble):
+        """In the midst of a turn, after a few of its steps."""
+        host.dies_in = 1 + trouble.more % 12
+        self.later(trouble, host.start)
+
+    def pause(self, host, trouble):
+        host.pause()
+        self.later(trouble, host.go_on)
+
+    def wipe(self, host, trouble):
+        """Only where no other machine is lost that is not made up for yet."""
+        if self.operator.busy or host in self.impostors:
+            return None
+        host.wipe()
+        self.operator.lost(host.name, trouble.length * MS)
+        return host
+
+    def impostor(self, host, trouble):
+        """The lost machine comes up again under its old name, with an empty folder: as one that is to be
+        added, or as one that believes it forms the cluster."""
+        if self.wipe(host, trouble) is None:
+            return
+        cluster = self.cluster
+        held = Held()
+        if trouble.more % 2:
+            first = b"".join(cluster.ledger.pieces(cluster.formed))
+            held = Held(cluster.base.term, "", cluster.base, [], first)
+        again = Host(cluster, host.name, cluster.new_folder(host.name))
+        again.disk = cluster.disk(again.disk.folder, held)
+        cluster.hosts[host.name] = again
+        self.impostors.append(again)
+        self.world.after((50 + trouble.more % 200) * MS, again.start)
+
+    def cut(self, host, trouble):
+        self.sever(trouble, self.cluster.lines([host.name], self.others(host)), True)
+
+    def cut_out(self, host, trouble):
+        self.sever(trouble, self.cluster.lines([host.name], self.others(host)))
+
+    def cut_in(self, host, trouble):
+        self.sever(trouble, self.cluster.lines(self.others(host), [host.name]))
+
+    def cut_pair(self, host, trouble):
+        others = self.others(host)
+        if others:
+            pair = self.cluster.lines([host.name], [others[trouble.more % len(others)]])
+            self.sever(trouble, pair, trouble.more % 3)
+
+    def split(self, host, trouble):
+        names = sorted(self.cluster.hosts)
+        near = {name for at, name in enumerate(names) if trouble.more >> at & 1} | {host.name}
+        self.sever(trouble, self.cluster.lines(sorted(near), [n for n in names if n not in near]), True)
+
+    def others(self, host):
+        return [name for name in sorted(self.cluster.hosts) if name != host.name]
+
+    def sever(self, trouble, lines, both=False):
+        lines = lines + [line[::-1] for line in lines] if both else lines
+        self.world.network.cut(lines)
+        self.later(trouble, self.world.network.mend, lines)
+
+    def weather(self, trouble, **fields):
+        before = self.world.network.weather
+        self.world.network.weather = replace(before, **fields)
+        self.later(trouble, self.clear, fields)
+
+    def clear(self, fields):
+        plain = {name: 0.0 for name in fields}
+        self.world.network.weather = replace(self.world.network.weather, **plain)
+
+    def lossy(self, host, trouble):
+        self.weather(trouble, lost=0.05 + trouble.more / 3000)
+
+    def twice(self, host, trouble):
+        self.weather(trouble, twice=0.5)
+
+    def late(self, host, trouble):
+        self.weather(trouble, late=0.3)
+
+    def garbled(self, host, trouble):
+        self.weather(trouble, garbled=0.2)
+
+    def slow_disk(self, host, trouble):
+        disk = host.disk
+        disk.least, disk.most = 30 * MS, (60 + trouble.more % 300) * MS
+        self.later(trouble, disk.heal)
+
+    def stalled_disk(self, host, trouble):
+        """One sync that takes as long as the trouble lasts."""
+        disk = host.disk
+        disk.least = disk.most = trouble.length * MS
+        self.world.after(300 * MS, disk.heal)
+
+    def broken_disk(self, host, trouble):
+        """Full, or a sync that fails. Once it is mended, the process is started anew."""
+        host.disk.broken = "no space left" if trouble.more % 2 else "sync failed"
+        self.later(trouble, self.mended, host)
+
+    def mended(self, host):
+        if not host.gone and host.disk.broken:
+            host.kill()
+            host.disk.heal()
+            host.start()
+
+    def jump(self, host, trouble):
+        host.jumped += (trouble.more - 500) * 20_000
+
+    def rolling(self, host, trouble):
+        """Each in turn is ended and started again."""
+        for at, name in enumerate(sorted(self.cluster.hosts)):
+            self.world.after(at * (trouble.length + 300) * MS, self.restart, name, trouble)
+
+    def restart(self, name, trouble):
+        host = self.cluster.hosts.get(name)
+        if host is not None and not host.gone:
+            if host.desk is not None and not host.paused and trouble.more % 2:
+                host.take(host.hand_over)
+            self.world.after(50 * MS, self.kill, host, trouble)
+
+    def all(self, host, trouble):
+        for one in list(self.cluster.hosts.values()):
+            if not one.gone:
+                self.kill(one, trouble)
+
+    def burst(self, host, trouble):
+        self.clients[trouble.more % 4].burst(16)
+
+    def hand_over(self, host, trouble):
+        if host.desk is not None:
+            host.take(host.hand_over)
+
+
+def short(cluster, name, folder, seed):
+    from .hosts import short_told
+
+    return short_told(cluster, name, folder, seed)
+
+
+def play(schedule, **more):
+    """Plays it; what a judge saw, or an error of the desks, is in `broken`."""
+    made, undecided, broken = None, 0, None
+    try:
+        made = Play(schedule, **more)
+        made.run()
+    except Broken as error:
+        broken = error
+    except Undecided:
+        undecided = 1
+    except Exception as error:  # whatever a desk raises is a failure of the schedule
+        broken = Broken(f"raised {type(error).__name__}", f"{error} {where(error)}", made and made.world.now)
+        broken.__cause__ = error
+    counts = {**made.world.network.counts, **made.world.counts} if made else {}
+    return Played(schedule, broken, counts, undecided)
+
+
+def where(error):
+    trace = error.__traceback__
+    while trace.tb_next is not None:
+        trace = trace.tb_next
+    return f"({trace.tb_frame.f_code.co_name}, line {trace.tb_lineno})"
+
+
+# ---- shrinking
+
+
+def shrunk(schedule, fails, most=150):
+    """The shortest schedule found that still fails. `fails`: function(schedule) to bool; `most`: plays."""
+    left = [most]
+
+    def still(troubles):
+        if left[0] <= 0:
+            return False
+        left[0] -= 1
+        return fails(replace(schedule, troubles=tuple(troubles)))
+
+    troubles, size = list(schedule.troubles), max(len(schedule.troubles) // 2, 1)
+    while size:
+        at = 0
+        while at < len(troubles):
+            fewer = troubles[:at] + troubles[at + size :]
+            if still(fewer):
+                troubles = fewer
+            else:
+                at += size
+        size //= 2
+    for at, trouble in enumerate(troubles):
+        for share in (0, 4, 2):
+            length = trouble.length // share if share else 0
+            shorter = replace(trouble, length=length)
+            if length < trouble.length and still([*troubles[:at], shorter, *troubles[at + 1 :]]):
+                troubles[at] = shorter
+                break
+    return replace(schedule, troubles=tuple(troubles))
+
+
+__all__ = ["KINDS", "Asking", "Play", "Played", "Schedule", "Trouble", "command", "draw", "play", "shrunk"]
--- a/tests/test_simulated.py
+++ b/tests/test_simulated.py
@@ -11,6 +11,7 @@
 from lemonlead.standins.simulated.disks import Disk, Held, Work
 from lemonlead.standins.simulated.history import NEVER, UNKNOWN, Seen, Undecided, first_wrong
 from lemonlead.standins.simulated.network import Network, garble, packed, unpacked
+from lemonlead.standins.simulated.schedules import KINDS, Schedule, Trouble, draw, play, shrunk
 
 
 class Later:
@@ -192,3 +193,32 @@
     assert held.last == 9 and held.entries == []
     with pytest.raises(ValueError):
         held.take(Work(Write(4, 2, "", None, [entry(11)])))
+
+
+# ---- schedules
+
+
+def stands(*runs):
+    """Plays each; fails with the shortest form of the first that breaks."""
+    for schedule in runs:
+        played = play(schedule)
+        if played.broken is not None:
+            judge = played.broken.judge
+            short = shrunk(schedule, lambda one, judge=judge: breaks(one, judge))
+            pytest.fail(f"{played.broken}\n{short}")
+
+
+def breaks(schedule, judge, **more):
+    broken = play(schedule, **more).broken
+    return broken is not None and broken.judge == judge
+
+
+@pytest.mark.parametrize("first", range(0, 100, 20))
+def test_drawn_schedules_break_nothing(first):
+    stands(*(draw(seed) for seed in range(first, first + 20)))
+
+
+@pytest.mark.parametrize("kind", sorted(KINDS))
+def test_each_trouble_by_itself_breaks_nothing(kind):
+    troubles = tuple(Trouble(at, kind, whom, 1500, at) for at, whom in ((800, 0), (3900, 1), (5600, 0)))
+    stands(Schedule(KINDS[kind][0], 3, troubles))
