--- a/lemonlead/moves/rules.py
+++ b/lemonlead/moves/rules.py
@@ -324,8 +324,8 @@
 
 
 def member_over(draft, name, move, command):
-    """One member of a group is the other side's: it serves there, with all that went before it. Here the
-    group keeps what may be down; there none may be, until all are over. So the two quorums add up."""
+    """One member of a group is the other side's: it serves there. With `over` of them there, the quorums are
+    min(over, quorum) there and what is left of it here: they add up, so no drain on either side breaks it."""
     if all(group.over == len(group.nodes) for group in move.groups):
         return shift(draft, name, move, 0)
     groups, before = [], None
@@ -635,15 +635,16 @@
 
 
 def warm(draft, command):
-    """The instances start with the first such call; until they are warm the shift waits."""
+    """The instances start with the first such call; until all are up and warm the shift waits."""
     hold = held(draft, command)
     if hold.state == HELD:
         hold = replace(hold, state=WARM, warm_at=draft.moment + draft.terms.cold, at=draft.index)
         draft.put("holds", command.key, hold)
     nodes = draft.part("nodes")
-    until = max([hold.warm_at, *(nodes[one].warm for one in nodes_of(draft, hold))])
-    cold = max(until - draft.moment, 0)
-    return {"state": hold.state, "warm": not cold, "cold_ms": -(-cold // 10**6)}
+    ours = [nodes[one] for one in nodes_of(draft, hold)]
+    cold = max([hold.warm_at, *(node.warm for node in ours)]) - draft.moment
+    warm = cold <= 0 and all(capacity.up(node) for node in ours)
+    return {"state": hold.state, "warm": warm, "cold_ms": max(-(-cold // 10**6), 0)}
 
 
 def nodes_of(draft, hold):
@@ -653,14 +654,14 @@
 
 
 def member(draft, command):
-    """The group has so many members here, none of which may be down until all are over."""
+    """The group has so many members here, of which as many as its quorum, or all, may not go."""
     hold = held(draft, command)
     placed = next((group for group in hold.groups if group.group == command.group), None)
     if placed is None or command.over > len(placed.nodes):
         raise Senseless(f"group {command.group} has no member {command.over}")
     if command.over > placed.over and hold.state == WARM:
         over = replace(placed, over=command.over)
-        regroup(draft, command.group, placed.nodes[: command.over], command.over)
+        regroup(draft, command.group, placed.nodes[: command.over], min(command.over, placed.quorum))
         groups = tuple(over if group is placed else group for group in hold.groups)
         draft.put("holds", command.key, replace(hold, groups=groups, at=draft.index))
     here = draft.get("groups", command.group)
--- a/lemonlead/moves/steps.py
+++ b/lemonlead/moves/steps.py
@@ -179,7 +179,7 @@
             return self.refused(name, move, body)
         if body["warm"]:
             return self.on(name, move, proof=body["at"])
-        return self.again(task, now, min(max(body["cold_ms"] * 10**6, POLL), LOOK))
+        return self.again(task, now, min(max(body["cold_ms"] * 10**6, SECOND), LOOK))
 
     def hand_over(self, now, moment, name, move, state, followers, task):
         group = next((group for group in move.groups if group.over < len(group.nodes)), None)
