--- a/lemonlead/moves/rules.py
+++ b/lemonlead/moves/rules.py
@@ -273,6 +273,8 @@
     followers = draft.part("followers")
     if command.gateway not in followers:
         raise Refused(f"gateway {command.gateway} does not follow", "follow first")
+    if command.gateway in (move.on if command.verdict == "on" else move.back):
+        return None
     on = tuple(name for name in move.on if name != command.gateway)
     back = tuple(name for name in move.back if name != command.gateway)
     if command.verdict == "on":
@@ -283,8 +285,10 @@
     if len(back) >= back_needed(len(followers)):
         says = f"{len(back)} of {len(followers)} gateways found {move.to} worse at {move.share / 10:g} %"
         do = "look at the machines there, then move anew"
-        return send_back(draft, command.move, move, SENT_BACK, says, do)
-    draft.put("moves", command.move, move)
+        send_back(draft, command.move, move, SENT_BACK, says, do)
+    else:
+        draft.put("moves", command.move, move)
+    return None
 
 
 def back_needed(followers):
