--- /dev/null
+++ b/lemonlead/following/course.py
@@ -0,0 +1,144 @@
+"""Whom a gateway asks what, and when: it asks to be waited for, takes the whole state, then each change.
+
+The order is what the ledger's promise rests on: asked to follow before anything is obeyed, and what comes
+after an index asked for only once all up to it was obeyed. Members are tried in turn; after a failure it
+waits longer each time, spread by chance, so that hundreds of gateways do not come together."""
+
+import json
+import random
+from dataclasses import dataclass
+
+from .words import pause
+
+MS = 1_000_000
+SHORTEST, LONGEST = 50 * MS, 2000 * MS  # waits after failures; half to the whole of it
+REFUSED = 30_000 * MS  # before it asks to follow anew where the ledger refused that
+PASSES = 3  # times in a row that it is passed on at once; past it, it waits as after a failure
+MOST_MEMBERS = 64  # known by name
+FOLLOW, STATE, EVENTS, UNFOLLOW = "follow", "state", "events", "unfollow"
+STATE_PARTS = ("permits", "nodes")  # in this order: what a node is told to be is never older than its permit
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    what: str
+    member: str
+    address: str  # host:port
+    method: str
+    path: str
+    body: bytes = b""
+    part: str = ""
+
+
+class Course:
+    def __init__(self, me, boot, members, seed):
+        """`boot`: of this process alone, so that ids are never used twice. `members`: name to address."""
+        self.me, self.boot, self.members = me, boot, dict(members)
+        self.random = random.Random(seed)
+        self.order = sorted(members)
+        self.random.shuffle(self.order)
+        self.member = self.order[0]
+        self.length, self.passes, self.not_before, self.follow_at = SHORTEST, 0, 0, 0
+        self.follows, self.leaving, self.left = False, False, False
+        self.parts = list(STATE_PARTS)  # still to be had before events can be
+        self.number, self.at = 1, 0  # of the next command; up to where all was obeyed
+        self.counts = dict.fromkeys(("polls", "failures", "passes", "moves", "wholes", "older"), 0)
+
+    # ---- inputs
+
+    def followed(self, now):
+        """The ledger took it in. What it holds of the state is taken anew: it may lack what came between."""
+        self.worked()
+        self.number += 1
+        self.follows, self.parts = True, list(STATE_PARTS)
+
+    def refused(self, now):
+        """The ledger has no room for it: it obeys all the same, and is not waited for."""
+        self.worked()
+        self.number += 1
+        self.follow_at = now + REFUSED
+
+    def had(self, part):
+        """A part of the whole state has come. True once it was the last."""
+        self.worked()
+        self.parts.remove(part)
+        self.counts["wholes"] += not self.parts
+        return not self.parts
+
+    def obeyed(self, at):
+        """The balancer knows all up to this entry."""
+        self.worked()
+        self.counts["polls"] += 1
+        self.at = max(self.at, at)
+
+    def kept_no_more(self):
+        """What it asked for is kept no more: the whole state again; perhaps it was forgotten meanwhile."""
+        self.worked()
+        self.follows, self.parts = False, list(STATE_PARTS)
+
+    def forgotten(self):
+        """Its lease ran out while it was not heard."""
+        self.follows = False
+
+    def failed(self, now, member="", told=None):
+        """The call came to nothing. `member`: whom the answer says to ask; `told`: the answer, or None."""
+        self.counts["failures"] += 1
+        if member in self.members and member != self.member and self.passes < PASSES:
+            self.passes += 1
+            self.counts["passes"] += 1
+            return self.move(member)
+        self.parts = self.parts and list(STATE_PARTS)  # all of them from one member
+        self.move(self.order[(self.order.index(self.member) + 1) % len(self.order)])
+        self.passes = 0
+        self.not_before = now + max(int(self.length * self.random.uniform(0.5, 1.0)), pause(told or {}))
+        self.length = min(2 * self.length, LONGEST)
+
+    def older(self, now):
+        """A member that lags told what was known already."""
+        self.counts["older"] += 1
+        self.failed(now)
+
+    def leave(self, now):
+        """It has ended its sends: asks not to be waited for any more."""
+        self.leaving, self.not_before = True, now
+
+    def unfollowed(self):
+        self.left = True
+
+    def seated(self, name, address):
+        """A member as the ledger has it, None where it is gone. Those of the settings stay."""
+        if address is not None and (name in self.members or len(self.members) < MOST_MEMBERS):
+            if name not in self.members:
+                self.order.append(name)
+            self.members[name] = address
+
+    # ---- decisions
+
+    def next(self, now):
+        """What to ask now; None where it is to wait until `not_before`, or is done."""
+        if now < self.not_before or self.left:
+            return None
+        if self.leaving:
+            return self.command(UNFOLLOW)
+        if not self.follows and now >= self.follow_at:
+            return self.command(FOLLOW)
+        if self.parts:
+            return self.ask(STATE, "GET", f"/v1/state/{self.parts[0]}", part=self.parts[0])
+        return self.ask(EVENTS, "GET", f"/v1/events?after={self.at}&gateway={self.me}")
+
+    def command(self, kind):
+        """The same id until it is answered: done once, whichever members were asked."""
+        told = {"id": f"{self.me}/{kind}/{self.boot}/{self.number}", "kind": kind, "gateway": self.me}
+        return self.ask(kind, "POST", "/v1/commands", json.dumps(told).encode())
+
+    def ask(self, what, method, path, body=b"", part=""):
+        return Ask(what, self.member, self.members[self.member], method, path, body, part)
+
+    # ---- inside
+
+    def worked(self):
+        self.length, self.passes = SHORTEST, 0
+
+    def move(self, member):
+        self.counts["moves"] += member != self.member
+        self.member = member
--- /dev/null
+++ b/lemonlead/following/driver.py
@@ -0,0 +1,260 @@
+"""The thread that follows a ledger: asks members what `course.py` says, tells the desk what they answer."""
+
+import contextlib
+import os
+import re
+import socket
+import threading
+import time
+
+from ..gateway import http
+from ..gateway.place import address, now
+from ..gateway.upkeep import CONNECTS, REASONS
+from . import words
+from .course import FOLLOW, STATE, UNFOLLOW, Course
+from .faults import Unusable
+from .merge import Merge
+
+SILENCE = 3.5  # seconds without a byte after which a call has failed; a member answers a poll within 2
+LONGEST = 20.0  # seconds for a whole answer, however it drips
+LEAVING = 1.5  # seconds for the last word to the ledger
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.:/-]{0,99}")
+
+
+def checked(told, name):
+    """The gateway's name in the ledger and its members; Unusable where one can't be. `told`: the settings'
+    `follow`."""
+    me, members = told.get("name", name), told["members"]
+    if not NAME.fullmatch(me):
+        raise Unusable(f"{me!r} can be no name in the ledger")
+    if not members:
+        raise Unusable("follow.members is empty")
+    for member, where in members.items():
+        try:
+            host, port = address(where)
+            socket.inet_pton(socket.AF_INET, host)
+            if not port:
+                raise ValueError
+        except (OSError, ValueError):
+            raise Unusable(f"member {member} is at {where!r}, which is no IPv4 address and port") from None
+    return me, members
+
+
+class Follower:
+    def __init__(self, place, told, desk, log, counters):
+        """`told`: the settings' `follow`. Unusable where it can't be followed."""
+        me, members = checked(told, place.name)
+        self.desk, self.log, self.counters = desk, log, counters
+        self.wait = told.get("wait", 0) / 1e9  # seconds that a start waits for the first state
+        self.merge, self.parts = Merge(), []
+        self.course = Course(me, os.urandom(6).hex(), members, place.start.seed)
+        self.sock = self.at = None  # the connection that stands, and to where
+        self.first, self.woken, self.over = threading.Event(), threading.Event(), threading.Event()
+        self.obeyed, self.leaves, self.last = -1, False, ""
+
+    def start(self, discovery, lines, addresses):
+        """From now on the balancer is told what both say. `lines`, `addresses`: the list as told before. Back
+        once the ledger was heard or `wait` is over: a gateway that is not waited for should send nothing,
+        and one that hears nothing should serve."""
+        with self.desk.lock:
+            self.merge.listed(lines, addresses, True)
+            self.discovery, discovery.merge = discovery, self.merge
+        threading.Thread(target=self.run, daemon=True).start()
+        if self.wait and not self.first.wait(self.wait):
+            self.counters.add("ledger unheard at start")
+            self.log.warning("ledger", heard="no", reason="nothing at the start: serves as discovery lists")
+
+    # ---- the thread
+
+    def run(self):
+        course = self.course
+        while not course.left:
+            if self.leaves and not course.leaving:
+                course.leave(now())
+            if (ask := course.next(now())) is None:
+                self.woken.wait(max(course.not_before - now(), 0) / 1e9)
+                self.woken.clear()
+                continue
+            try:
+                reason = self.call(ask)
+            except ValueError as error:  # Malformed and Unreadable among them
+                reason = f"malformed: {error}"
+            except TimeoutError:
+                reason = "silent"
+            except OSError as error:
+                reason = REASONS.get(type(error), "unreachable")
+            except Exception as error:  # the next call depends on the thread
+                reason = f"fault {type(error).__name__}: {error}"
+                self.counters.add("ledger faults")
+            if reason:
+                self.end()
+                self.parts = []
+                if reason != "passed on":
+                    course.failed(now())
+            self.say(ask, reason)
+        self.end()
+        self.over.set()
+
+    def say(self, ask, reason):
+        """One line when it begins to fail and one when it works again, not one a call."""
+        if self.leaves:
+            return
+        if reason:
+            self.counters.add(f"ledger calls ended: {reason.split(':')[0][:40]}")
+        if bool(reason) != bool(self.last):
+            told = self.log.warning if reason else self.log.info
+            told("ledger", heard="no" if reason else "yes", member=ask.member, reason=reason[:200])
+        self.last = reason
+
+    def call(self, ask):
+        """One call and what its answer means; why it failed, or an empty string."""
+        status, told = self.exchange(ask)
+        if status == 503 or status in (301, 302, 307, 308):
+            self.course.failed(now(), words.leader(told), told)
+            return "passed on"
+        if ask.what in (FOLLOW, UNFOLLOW):
+            return self.commanded(ask, status)
+        if ask.what == STATE and status in (400, 404) and ask.part != "nodes":
+            told, status = {"at": 1 << 62, "items": {}}, 200  # a part that it does not show
+        if status != 200:
+            return f"status {status}"
+        return self.state(ask, told) if ask.what == STATE else self.events(ask, told)
+
+    def commanded(self, ask, status):
+        if ask.what == UNFOLLOW and status in (200, 400, 409):
+            self.course.unfollowed()
+        elif status == 200:
+            self.course.followed(now())
+        elif status in (400, 409):
+            self.log.warning("ledger refused", what=ask.what, status=status)
+            self.counters.add("ledger follows refused")
+            self.course.refused(now())
+        else:
+            return f"status {status}"
+        return ""
+
+    def state(self, ask, told):
+        self.parts.append(words.state(told, ask.part))
+        if self.course.had(ask.part):
+            parts, self.parts = self.parts, []
+            if not self.obey(words.joined(parts)):
+                self.course.kept_no_more()
+                return "not newer"
+        return ""
+
+    def events(self, ask, told):
+        if (news := words.events(told, self.course.at)) is None:
+            self.course.kept_no_more()
+            return ""
+        if news.at < self.course.at:
+            self.course.older(now())
+            return "passed on"
+        rows = dict(((part, key), record) for part, key, record in news.changes)
+        for (part, key), record in rows.items():
+            if part == "members" and record is not None and type(record.get("address")) is str:
+                self.seated(key, record)
+        if not self.obey(news):
+            return "not obeyed"
+        if rows.get(("followers", self.course.me), True) is None:
+            self.counters.add("ledger forgot")
+            self.course.forgotten()
+        return ""
+
+    def seated(self, name, record):
+        try:
+            address(record["address"])
+        except ValueError:
+            return
+        self.course.seated(name, None if record.get("gone") else record["address"])
+
+    def obey(self, news):
+        """Whether the balancer was told. Only then is the next poll an acknowledgement: from then on its
+        `may_begin` lets no send begin that was meant for what is out."""
+        self.desk.tell(self.heard, news)
+        if self.obeyed < news.at:
+            return False
+        self.course.obeyed(news.at)
+        self.first.set()
+        return True
+
+    def heard(self, moment, news):
+        """Under the desk's lock."""
+        told = self.merge.heard(moment, news)
+        if told is None:
+            return
+        if told[0]:
+            self.counters.add("ledger told")
+            self.discovery.put(moment, *told, False, False)
+        self.obeyed = news.at
+
+    # ---- one call
+
+    def exchange(self, ask):
+        """The status and the object of its body. A connection kept from before may have ended unseen: the
+        call is made anew then, which harms none of them."""
+        where = address(ask.address)
+        if self.sock is not None and self.at == where:
+            try:
+                return self.on_connection(ask)
+            except (ConnectionError, EOFError):
+                if self.leaves and ask.what != UNFOLLOW:
+                    return 503, {}
+        self.end()
+        self.sock, self.at = socket.socket(), where
+        self.sock.settimeout(CONNECTS)
+        self.sock.connect(where)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock.settimeout(SILENCE)
+        try:
+            return self.on_connection(ask)
+        except EOFError:
+            raise ConnectionResetError("closed") from None
+
+    def on_connection(self, ask):
+        head = f"{ask.method} {ask.path} HTTP/1.1\r\nHost: {ask.address}\r\n"
+        if ask.body:
+            head += f"Content-Type: application/json\r\nContent-Length: {len(ask.body)}\r\n"
+        self.sock.sendall(f"{head}\r\n".encode() + ask.body)
+        answer, body, until = http.Answer(), [], time.monotonic() + LONGEST
+        while (line := answer.next()) is not http.END:
+            if line is not http.MORE:
+                body.append(line)
+            elif not answer.buffer.fill(self.sock.recv_into):
+                if answer.left is None and answer.state == answer.body and not answer.text:
+                    break  # a body that goes on to the end of the connection
+                raise EOFError
+            elif time.monotonic() > until:
+                raise TimeoutError
+        check = answer.headers.get(b"x-crc32", b"").decode("ascii", "replace")
+        if answer.headers.get(b"connection", b"").lower() == b"close" or len(answer.buffer):
+            self.end()
+        if answer.status in (200, 503):
+            return answer.status, words.checked(b"\n".join(body), check)
+        return answer.status, {}
+
+    def end(self):
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
+
+    # ---- the end
+
+    def leave(self, until):
+        """After the last send has ended: asks not to be waited for any more. Where one is still out at
+        `until` (of `time.monotonic`), it says nothing: the ledger waits until the lease ran out."""
+        while self.desk.instances.trips and time.monotonic() < until:
+            time.sleep(0.02)
+        if self.desk.instances.trips:
+            return False
+        self.leaves = True
+        self.woken.set()
+        sock = self.sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)  # a poll that waits
+        return self.over.wait(LEAVING)
+
+    def figures(self):
+        counts = {f"ledger {name}": count for name, count in self.course.counts.items()}
+        return {**counts, "ledger index": self.course.at, "ledger held back": self.merge.held_back()}
+
--- /dev/null
+++ b/lemonlead/following/words.py
@@ -0,0 +1,124 @@
+"""What a member answers, read. Standard library alone: a gateway stays small."""
+
+import json
+import zlib
+from dataclasses import dataclass
+
+from .faults import Unreadable
+
+PARTS = ("nodes", "permits", "followers", "members")  # what a gateway heeds; all else is passed over
+MOST = 200_000  # records of one part, as in the ledger
+
+
+@dataclass(slots=True)
+class News:
+    """What an answer tells up to entry `at`. `changes`: (part, key, record as dict, or None where it was
+    dropped), in order. `whole`: parts of which `changes` are all records that there are. `moment`: the
+    ledger's time as of then, None where it is not told."""
+
+    at: int
+    changes: list
+    whole: tuple = ()
+    moment: int | None = None
+
+
+def checked(body, check):
+    """The body, whose CRC-32 the member may have told as hexadecimal digits."""
+    try:
+        if check and int(check, 16) != zlib.crc32(body):
+            raise Unreadable("the body is not what its check says")
+        told = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise Unreadable(str(error)[:200]) from None
+    if type(told) is not dict:
+        raise Unreadable("no object")
+    return told
+
+
+def whole_number(told, name, least=0):
+    value = told.get(name)
+    if type(value) is not int or value < least:
+        raise Unreadable(f"{name} is {value!r}"[:100])
+    return value
+
+
+def moment(told):
+    return whole_number(told, "moment") if told.get("moment") is not None else None
+
+
+def record(part, key, value):
+    """A record as far as it is heeded. An unknown state of a node is read as it is: no send goes there."""
+    if type(key) is not str or type(value) not in (dict, type(None)):
+        raise Unreadable(f"no record: {part} {key!r}"[:100])
+    if part == "nodes" and value is not None:
+        state, out, warm = value.get("state", "serving"), value.get("out", ""), value.get("warm", 0)
+        if type(state) is not str or type(out) is not str or type(warm) is not int:
+            raise Unreadable(f"no node: {key}"[:100])
+    return part, key, value
+
+
+def events(told, after):
+    """News of what came after an index; None where that is kept no more and the whole has to be asked
+    for."""
+    if told.get("events") is None:
+        if told.get("whole") is None:
+            raise Unreadable("neither events nor whole")
+        return None
+    at, changes, last = whole_number(told, "at"), [], after
+    for event in told["events"] if type(told["events"]) is list else (None,):
+        if type(event) is not dict:
+            raise Unreadable("an event that is none")
+        last = whole_number(event, "index", last + 1)
+        changes += [change for change in changed(event.get("changes")) if change[0] in PARTS]
+    if last > max(at, after):
+        raise Unreadable(f"an event of entry {last} in an answer up to {at}")
+    return News(at, changes, moment=moment(told))
+
+
+def changed(told):
+    """Changes as a list of objects with `part`, `key` and `record`, or as parts with records by key."""
+    if type(told) is list:
+        for one in told:
+            if type(one) is not dict or type(one.get("part")) is not str:
+                raise Unreadable("a change that is none")
+            yield record(one["part"], one.get("key"), one.get("record"))
+    elif type(told) is dict:
+        for part, some in told.items():
+            if type(some) is not dict:
+                raise Unreadable("a change that is none")
+            for key, value in some.items():
+                yield record(part, key, value)
+    else:
+        raise Unreadable("an event without changes")
+
+
+def state(told, part):
+    """News of all records of a part."""
+    items = told.get("items")
+    if type(items) is not dict or len(items) > MOST or None in items.values():
+        raise Unreadable("items that are none, or too many")
+    changes = [record(part, key, value) for key, value in items.items()]
+    return News(whole_number(told, "at"), changes, (part,), moment(told))
+
+
+def joined(some):
+    """One of several: true as of the earliest of them; what came after it is told again."""
+    moments = [news.moment for news in some if news.moment is not None]
+    return News(
+        min(news.at for news in some),
+        [change for news in some for change in news.changes],
+        tuple(part for news in some for part in news.whole),
+        min(moments) if len(moments) == len(some) else None,
+    )
+
+
+def leader(told):
+    """Whom a member says to ask instead: a name or an address, empty where it says none."""
+    name = told.get("leader")
+    return name if type(name) is str else ""
+
+
+def pause(told):
+    """Nanoseconds after which a member asks to be asked again; at most 10 s are heeded."""
+    wait = told.get("retry_ms")
+    return min(wait, 10_000) * 1_000_000 if type(wait) is int and wait > 0 else 0
--- a/lemonlead/gateway/__main__.py
+++ b/lemonlead/gateway/__main__.py
@@ -60,6 +60,16 @@
         if (reason := gate.sorting.load(places.now())) is not None:
             print(f"lemonlead.gateway: the rules cannot be used: {reason}", file=sys.stderr)
             return 2
+    follower = None
+    if gate.sorting is not None and gate.sorting.follow is not None:
+        from ..following import driver  # nor is this while no ledger is followed
+
+        try:
+            follower = driver.Follower(place, gate.sorting.follow, desk, log, counters)
+        except driver.Unusable as error:
+            print(f"lemonlead.gateway: no ledger can be followed: {error}; {error.do}", file=sys.stderr)
+            return 2
+        follower.start(discovery, known[1], known[2])
     threads = [desk.keep_time, discovery.run]
     threads += [releases.hear, releases.poll] if place.platform else []
     for thread in threads:
@@ -73,14 +83,14 @@
     log.info("serving", listen=host, port=port, instances=len(known[1]))
     while (asked := signal.sigwait(SIGNALS)) in (signal.SIGUSR1, signal.SIGHUP):
         if asked == signal.SIGUSR1:
-            log.info("counters", **figures(desk))
+            log.info("counters", **figures(desk, follower))
             if gate.sorting is not None:
                 gate.sorting.tell()
         else:
             move(discovery, releases, log)
             if gate.sorting is not None:
                 gate.sorting.load(places.now())
-    return stop(gate, desk, log)
+    return stop(gate, desk, log, follower)
 
 
 def move(discovery, releases, log):
@@ -95,21 +105,25 @@
     log.info("configuration read", discovery=to, platform=platform)
 
 
-def figures(desk):
+def figures(desk, follower):
     with desk.lock:
         counted = {**desk.counters.read(), "open": len(desk.asks)}
+        counted |= follower.figures() if follower is not None else {}
     return {name.replace(" ", "_").replace(":", ""): count for name, count in counted.items()}
 
 
-def stop(gate, desk, log):
-    """Serves what still comes, then closes connections between lookups and ends what was taken."""
+def stop(gate, desk, log, follower):
+    """Serves what still comes, then closes connections between lookups and ends what was taken; last of all
+    it tells the ledger that it sends no more."""
     log.info("stopping", open=len(desk.asks))
     time.sleep(LINGER)
     gate.close()
     until = time.monotonic() + max((lane.hard_stop for lane in gate.place.start.lanes), default=0) / 1e9
     while (gate.close_idle() or desk.asks) and time.monotonic() < until:
         time.sleep(0.02)
-    log.info("stopped", **figures(desk))
+    if follower is not None:
+        follower.leave(until)
+    log.info("stopped", **figures(desk, follower))
     return 0
 
 
--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -24,6 +24,7 @@
         self.upkeep = Upkeep(place.discovery, place.start.seed, 0.05, 1.0, crowded)
         self.tried = threading.Event()  # a list has come, or the first watch has ended
         self.source = place.discovery  # whose list was last taken
+        self.merge = None  # with what a ledger says, where one is followed
 
     def ask(self):
         self.wanted.set()
@@ -102,11 +103,17 @@
         if version <= self.version:
             lines, addresses, whole = [], {}, False
         self.version = max(version, self.version)
+        if self.merge is not None:
+            lines, addresses = self.merge.listed(lines, addresses, whole)
+        self.counters.add("lists told")
+        self.put(now, lines, addresses, whole, fresh)
+
+    def put(self, now, lines, addresses, whole, fresh):
+        """The one way by which the balancer learns of instances. Under the desk's lock."""
         for id in [id for id in self.desk.instances.pools if id not in addresses] if whole else ():
             self.desk.instances.listed(id, None, 0)
         for id, (where, started) in addresses.items():
             self.desk.instances.listed(id, where, started)
-        self.counters.add("lists told")
         self.desk.balancer.listed(now, lines, whole, fresh)
         if fresh:
             self.tried.set()
--- a/lemonlead/gateway/sorting.py
+++ b/lemonlead/gateway/sorting.py
@@ -24,6 +24,7 @@
         self.place, self.path, self.desk, self.log, self.counters = place, Path(path), desk, log, counters
         self.names = {lane.number: name for name, lane in place.lanes.items()}
         self.room, self.standing = place.memory // SHARE, Standing()
+        self.follow = None  # what the settings say of a ledger to follow; read at the start alone
 
     # ---- reading
 
@@ -58,7 +59,8 @@
         return None
 
     def read(self):
-        told = settings.read(self.path, settings.schema_text("gateway")).value.get("rules")
+        all = settings.read(self.path, settings.schema_text("gateway")).value
+        told, self.follow = all.get("rules"), all.get("follow")
         if told is None:
             return None, None, 0.0
         active = self.rules(told["file"])
--- a/lemonlead/settings/schemas/gateway.cue
+++ b/lemonlead/settings/schemas/gateway.cue
@@ -4,3 +4,9 @@
 	shadow?:      string         // a set that is tried beside it
 	shadow_share: *0.01 | float & >=0.0 & <=0.5 // of one core, for the set that is tried
 }
+// The ledger that it follows: nodes named as instances are, and out there, get no new send.
+follow?: {
+	name?:   string // this gateway's in the ledger, its own only; without it the configuration's
+	members: {[=~"^[A-Za-z0-9][A-Za-z0-9_.:/-]{0,99}$"]: string} // name to host:port; more are learned
+	wait:    *2s | duration & >=0s & <=10s // a start waits so long for the ledger's first word
+}
--- a/lemonlead/standins/fleet.py
+++ b/lemonlead/standins/fleet.py
@@ -74,11 +74,12 @@
 
 @contextlib.contextmanager
 def gateway(
-    tmp_path, *servers, settings=None, limits=None, entries=None, rules=None, extra=None, source=None
+    tmp_path, *servers, settings=None, limits=None, entries=None, rules=None, extra=None, source=None,
+    follow=None,
 ):
     """A gateway that runs among these instances; all of it ends with the block. `rules`: the text of a set of
     rules to switch on, `extra` further settings of rules, as `{"shadow": text, "shadow_share": share}`.
-    `source`: the discovery that it starts with."""
+    `source`: the discovery that it starts with. `follow`: the text of the settings of a ledger to follow."""
     discovery, platform = source or DiscoveryServer().start(), PlatformServer().start()
     known = entries or [entry(f"i{n}", server) for n, server in enumerate(servers)]
     config = {
@@ -98,6 +99,9 @@
     environment = {**os.environ, "ROUTER_CONFIG": str(tmp_path / "config.json")}
     if rules is not None:
         environment["LEMONLEAD_SETTINGS"] = str(write_rules(tmp_path, rules, **(extra or {})))
+    if follow is not None:
+        (tmp_path / "follow.cue").write_text(follow)
+        environment["LEMONLEAD_SETTINGS"] = str(tmp_path / "follow.cue")
     with open(tmp_path / "log", "w") as log:
         process = subprocess.Popen(
             [sys.executable, "-m", "lemonlead.gateway"],
