--- a/lemonlead/following/course.py
+++ b/lemonlead/following/course.py
@@ -15,6 +15,7 @@
 REFUSED = 30_000 * MS  # before it asks to follow anew where the ledger refused that
 PASSES = 3  # times in a row that it is passed on at once; past it, it waits as after a failure
 MOST_MEMBERS = 64  # known by name
+SHUNNED = 10_000 * MS  # for which a member that did not answer is not gone to for being the leader
 FOLLOW, STATE, EVENTS, UNFOLLOW = "follow", "state", "events", "unfollow"
 STATE_PARTS = ("permits", "nodes")  # in this order: what a node is told to be is never older than its permit
 
@@ -41,6 +42,7 @@
         self.length, self.passes, self.not_before, self.follow_at = SHORTEST, 0, 0, 0
         self.follows, self.leaving, self.left = False, False, False
         self.parts = list(STATE_PARTS)  # still to be had before events can be
+        self.shunned = {}  # member: until when
         self.number, self.at = 1, 0  # of the next command; up to where all was obeyed
         self.counts = dict.fromkeys(("polls", "failures", "passes", "moves", "wholes", "older"), 0)
 
@@ -65,11 +67,14 @@
         self.counts["wholes"] += not self.parts
         return not self.parts
 
-    def obeyed(self, at):
-        """The balancer knows all up to this entry."""
+    def obeyed(self, now, at, leader=""):
+        """The balancer knows all up to this entry. `leader`: who led as the member answered: to be asked
+        itself, where it can be reached, as it is the one that counts who has acknowledged."""
         self.worked()
         self.counts["polls"] += 1
         self.at = max(self.at, at)
+        if leader in self.members and self.shunned.get(leader, now) <= now:
+            self.move(leader)
 
     def kept_no_more(self):
         """What it asked for is kept no more: the whole state again; perhaps it was forgotten meanwhile."""
@@ -80,14 +85,19 @@
         """Its lease ran out while it was not heard."""
         self.follows = False
 
-    def failed(self, now, member="", told=None):
-        """The call came to nothing. `member`: whom the answer says to ask; `told`: the answer, or None."""
+    def failed(self, now, member="", told=None, unread=False):
+        """The call came to nothing. `member`: whom the answer says to ask; `told`: the answer, None where
+        none came that could be read. What could not be read may be a state too large for one answer: its
+        parts are asked for then."""
         self.counts["failures"] += 1
         if member in self.members and member != self.member and self.passes < PASSES:
             self.passes += 1
             self.counts["passes"] += 1
             return self.move(member)
-        self.parts = self.parts and list(STATE_PARTS)  # all of them from one member
+        if self.parts or unread:
+            self.parts = list(STATE_PARTS)  # all of them from one member
+        if told is None:
+            self.shunned[self.member] = now + SHUNNED
         self.move(self.order[(self.order.index(self.member) + 1) % len(self.order)])
         self.passes = 0
         self.not_before = now + max(int(self.length * self.random.uniform(0.5, 1.0)), pause(told or {}))
@@ -96,7 +106,7 @@
     def older(self, now):
         """A member that lags told what was known already."""
         self.counts["older"] += 1
-        self.failed(now)
+        self.failed(now, told={})
 
     def leave(self, now):
         """It has ended its sends: asks not to be waited for any more."""
--- a/lemonlead/following/driver.py
+++ b/lemonlead/following/driver.py
@@ -90,7 +90,7 @@
                 self.end()
                 self.parts = []
                 if reason != "passed on":
-                    course.failed(now())
+                    course.failed(now(), unread=reason.startswith("malformed"))
             self.say(ask, reason)
         self.end()
         self.over.set()
@@ -137,7 +137,7 @@
         self.parts.append(words.state(told, ask.part))
         if self.course.had(ask.part):
             parts, self.parts = self.parts, []
-            if not self.obey(words.joined(parts)):
+            if not self.obey(words.joined(parts), ""):
                 self.course.kept_no_more()
                 return "not newer"
         return ""
@@ -153,7 +153,7 @@
         for (part, key), record in rows.items():
             if part == "members" and record is not None and type(record.get("address")) is str:
                 self.seated(key, record)
-        if not self.obey(news):
+        if not self.obey(news, words.leader(told)):
             return "not obeyed"
         if rows.get(("followers", self.course.me), True) is None:
             self.counters.add("ledger forgot")
@@ -167,13 +167,13 @@
             return
         self.course.seated(name, None if record.get("gone") else record["address"])
 
-    def obey(self, news):
+    def obey(self, news, leader):
         """Whether the balancer was told. Only then is the next poll an acknowledgement: from then on its
         `may_begin` lets no send begin that was meant for what is out."""
         self.desk.tell(self.heard, news)
         if self.obeyed < news.at:
             return False
-        self.course.obeyed(news.at)
+        self.course.obeyed(now(), news.at, leader)
         self.first.set()
         return True
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -260,7 +260,7 @@
     while (ask := made.next(NOW)).what == STATE:
         asked.append(ask.part)
         made.had(ask.part)
-    made.obeyed(41)
+    made.obeyed(NOW, 41)
     assert asked == ["permits", "nodes"] and made.next(NOW).path == "/v1/events?after=41&gateway=g0"
 
 
@@ -298,6 +298,25 @@
     assert at_once == courses.PASSES + 1 and made.counts["passes"] == courses.PASSES
 
 
+def test_a_leader_that_is_told_of_is_asked_itself_but_not_one_that_does_not_answer():
+    made = course()
+    first = made.member
+    made.failed(NOW)
+    assert made.member != first
+    made.obeyed(NOW, 5, first)
+    assert made.member != first
+    made.obeyed(NOW + courses.SHUNNED, 6, first)
+    assert made.member == first
+
+
+def test_an_answer_that_cannot_be_read_has_the_state_asked_for_in_parts():
+    made = course()
+    made.followed(NOW)
+    made.parts.clear()
+    made.failed(NOW, unread=True)
+    assert made.next(made.not_before).what == STATE
+
+
 def test_a_refusal_leaves_it_obeying_and_it_asks_again_later():
     made = course()
     made.refused(NOW)
