--- a/lemonlead/standins/followed.py
+++ b/lemonlead/standins/followed.py
@@ -22,6 +22,7 @@
         self.changed = threading.Condition()
         self.at, self.kept, self.moment = 1, 1, 0
         self.parts = {"nodes": {}, "permits": {}, "followers": {}, "members": {}}
+        self.reports = []  # (node, state)
         self.events, self.ids, self.polls, self.counts = [], {}, {}, Counter()
         self.leader = None  # the server that leads; None: each of them
 
@@ -61,6 +62,11 @@
             if told["id"] in self.ids:
                 self.counts["repeats"] += 1
                 return self.ids[told["id"]]
+            if told["kind"] == "report":
+                self.reports.append((told["node"], told["state"]))
+                self.changed.notify_all()
+                answer = self.ids[told["id"]] = 200, {"at": self.at}
+                return answer
             record = {"since": self.at + 1} if told["kind"] == "follow" else None
             answer = self.ids[told["id"]] = 200, {"at": self.put("followers", told["gateway"], record)}
             return answer
@@ -73,7 +79,8 @@
 
     def news(self, after, gateway):
         with self.changed:
-            self.polls[gateway] = max(after, self.polls.get(gateway, -1))
+            if gateway:
+                self.polls[gateway] = max(after, self.polls.get(gateway, -1))
             self.counts["polls"] += 1
             self.changed.notify_all()
             self.changed.wait_for(lambda: self.at > after, POLL)
@@ -120,7 +127,7 @@
         if path.startswith("/v1/state/"):
             return self.ledger.state(path.rsplit("/", 1)[1])
         told = dict(pair.split("=") for pair in path.partition("?")[2].split("&"))
-        return self.ledger.news(int(told["after"]), told["gateway"])
+        return self.ledger.news(int(told["after"]), told.get("gateway", ""))
 
 
 def whole(status, told, spoil=False):
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -5,6 +5,9 @@
 
 import pytest
 
+from lemonlead.gateway import resp
+from lemonlead.standins import followed
+from lemonlead.standins.nodes import DOWN, Agent, Job, Members, Node, Replicas
 from lemonlead.standins.server import Server
 from lemonlead.standins.wires import Wires, parts, spare
 
@@ -187,3 +190,111 @@
     assert wires.passed("a2", "b")["refused"] == 1
     wires.close()
     server.close()
+
+
+# ---- nodes
+
+
+PERMIT = {"drain": "d", "term": 2, "index": 7, "phase": "clear"}
+
+
+def send(address, key=b"aa"):
+    with socket.create_connection(parts(address), 10) as sock:
+        sock.sendall(resp.command([b"Q.ASK", key, b"id", b"c=look,d=900,t=acme"]))
+        reader = resp.Reader()
+        while (value := reader.next()) is resp.MORE:
+            reader.buffer.add(sock.recv(1000))
+        return value
+
+
+@pytest.fixture
+def node():
+    node = Node("n1")
+    yield node
+    node.close()
+
+
+def test_a_node_counts_sends_by_gateway(node):
+    one, two = node.listen("g0"), node.listen("g1")
+    assert [send(one), send(two), send(one)] == [[b"aa", None, None]] * 3
+    assert node.by_gateway == {"g0": 2, "g1": 1} and not node.counts["after clear"]
+
+
+@pytest.mark.parametrize(
+    "permit, at, acts, old",
+    [
+        (PERMIT, 9, True, 0),
+        ({**PERMIT, "phase": "given"}, 9, False, 0),
+        ({**PERMIT, "phase": "recalled"}, 9, False, 0),
+        ({**PERMIT, "term": 1, "index": 9}, 9, False, 1),
+        ({**PERMIT, "index": 6}, 9, False, 1),
+        (PERMIT, 7, False, 1),
+        (None, 9, False, 0),
+    ],
+)
+def test_a_node_acts_on_a_clear_permit_alone_and_refuses_older_ones(node, permit, at, acts, old):
+    node.told({**PERMIT, "phase": "given"}, 8)
+    assert (node.told(permit, at), node.counts["old permits"]) == (acts, old)
+
+
+def test_a_node_that_goes_down_refuses_and_comes_back_at_its_address(node):
+    address, reports = node.listen("g0"), []
+    node.may_return.clear()
+    assert node.told(PERMIT, 9)
+    send(address)
+    assert node.counts["after clear"] == 1  # seen, as it had been told that none would come
+    thread = threading.Thread(target=node.go_down, args=(reports.append,), daemon=True)
+    thread.start()
+    node.until(lambda node: node.state == DOWN)
+    with pytest.raises(OSError):
+        send(address)
+    node.may_return.set()
+    thread.join(20)
+    assert reports == ["drained", "catching_up", "serving"] and send(address)
+    assert [state for _, state in node.states] == [
+        "serving", "clearing", "drained", "down", "catching_up", "serving",
+    ]
+
+
+def test_a_node_waits_for_the_job_it_holds_and_a_killed_one_breaks_it(node):
+    other = Node("n2")
+    job = Job("j", [node, other])
+    assert node.told(PERMIT, 9)
+    thread = threading.Thread(target=node.go_down, args=(lambda state: None,), daemon=True)
+    thread.start()
+    other.kill()
+    assert job.broken == "n2" and node.state == "clearing"
+    job.end()
+    thread.join(20)
+    assert node.counts["downs"] == 1 and node.state == "serving"
+
+
+def test_replicas_count_how_often_they_fell_below_their_quorum():
+    nodes = [Node(f"n{number}") for number in range(3)]
+    replicas = Replicas("r", nodes, 2)
+    nodes[0].kill()
+    assert (replicas.least, replicas.broken) == (2, 0)
+    nodes[1].kill()
+    nodes[2].kill()
+    assert (replicas.least, replicas.broken) == (0, 1)
+    for one in nodes:
+        one.revive()
+    nodes[0].kill()
+    nodes[1].up()  # not caught up
+    assert replicas.broken == 2
+
+
+def test_an_agent_takes_its_node_through_a_drain_and_tells_the_ledger(node):
+    ledger = followed.Ledger()
+    member = followed.MemberServer(ledger).start()
+    dead = spare()
+    agent = Agent(node, Members(dead, member.address)).start()
+    ledger.put("permits", "n1", {**PERMIT, "phase": "given"})
+    ledger.put("permits", "n1", PERMIT)
+    with ledger.changed:
+        assert ledger.changed.wait_for(lambda: len(ledger.reports) == 3, 30)
+    assert [state for _, state in ledger.reports] == ["drained", "catching_up", "serving"]
+    assert node.counts["downs"] == 1 and not agent.refused
+    ledger.put("permits", "n1", None)
+    agent.stop()
+    member.close()
