--- a/lemonlead/ledger/followers.py
+++ b/lemonlead/ledger/followers.py
@@ -128,5 +128,4 @@
         return self.again if self.desk.state.part("followers") else NEVER
 
 
-DUTIES = (Forgetting,)
-__all__ = ["DUTIES", "INNER", "KINDS", "MOST", "RULES", "Followers"]
+__all__ = ["INNER", "KINDS", "MOST", "RULES", "Followers"]
--- a/lemonlead/ledger/seating.py
+++ b/lemonlead/ledger/seating.py
@@ -188,9 +188,7 @@
     return base if seat is None or seat.votes else Base(0, 0, dict(seats))
 
 
-DUTIES = (Seating,)
 __all__ = [
-    "DUTIES",
     "KINDS",
     "RULES",
     "Add",
--- a/lemonlead/member/host.py
+++ b/lemonlead/member/host.py
@@ -11,22 +11,21 @@
 
 from ..ledger.desk import Desk
 from ..ledger.records import LEADER
-from . import whole
 
 MOST_INBOX = 4096  # messages of peers not yet handed on; past it the oldest is dropped
 MOST_AT_ONCE = 1000  # inputs, and decisions, in one turn; the rest is for the next, after the sockets
 
 
 class Host:
-    """`shelf`: the disk's thread. `peers`: sends. `caller`: asks other clusters. `broken(error)`: a turn
-    failed, which no part of the program foresees: nothing more is done, since what the desk knows may be
-    half."""
+    """`duties(desk)`: what a leader does unasked. `shelf`: the disk's thread. `peers`: sends. `caller`: asks
+    other clusters. `broken(error)`: a turn failed, which no part of the program foresees: nothing more is
+    done, since what the desk knows may be half."""
 
-    def __init__(self, told, kept, state, shelf, peers, caller, log, broken):
+    def __init__(self, told, kept, state, duties, shelf, peers, caller, log, broken):
         self.loop, self.shelf, self.peers = asyncio.get_running_loop(), shelf, peers
         self.caller, self.log, self.broken = caller, log, broken
         self.desk = Desk(told, kept, shelf.ledger, state, time.monotonic_ns())
-        self.desk.duties.extend(whole.duties(self.desk))
+        self.desk.duties.extend(duties(self.desk))
         self.messages, self.inputs = deque(), deque()
         self.soon = self.timer = None
         self.wake, self.ended, self.office = 0, False, None
--- a/lemonlead/member/outside.py
+++ b/lemonlead/member/outside.py
@@ -13,7 +13,7 @@
 from ..ledger.faults import Senseless
 from ..ledger.records import CANDIDATE, FOLLOWER, LEADER, LEARNER, NOT_DONE, OUTSIDE, UNKNOWN
 from ..ledger.state import LONGEST
-from . import peers
+from . import peers, whole
 from .asking import HOP
 from .faults import Late, NoLeader, NotNow, Outside, TooMany, Undecided
 
@@ -26,7 +26,6 @@
 COMMAND_TIME = 10  # seconds until a command that has no answer is told as unknown, a read as not done
 ROWS = 500  # records encoded in one go, before the loop sees to other things
 RETRY = 300  # ms
-PARTS = {"reservations", "nodes", "gangs", "groups", "drains", "moves", "members"}
 
 ENCODE = msgspec.json.Encoder().encode
 
@@ -193,8 +192,9 @@
 
     async def state(self, request):
         name, host = request.match_info["part"], self.host
-        if name not in PARTS and name not in host.desk.ledger.kinds:
-            raise Senseless(f"no part {name[:100]!r}: there are {', '.join(sorted(PARTS))}")
+        kinds = host.desk.ledger.kinds
+        if name not in kinds:
+            raise Senseless(f"no part {name[:100]!r}: there are {', '.join(sorted(kinds))}")
         more = {}
         if request.query.get("read") == "local":
             state = host.desk.state
@@ -207,7 +207,7 @@
                 return await self.pass_on(request, leader)
         async with self.whole:
             head = ENCODE({"at": state.index, "moment": state.moment, **more})
-            return answer(200, head[:-1], b',"items":', await rows(state.part(name)), b"}")
+            return answer(200, head[:-1], b',"items":', await rows(whole.shown(state, name)), b"}")
 
     async def events(self, request):
         after, gateway = number(request, "after"), request.query.get("gateway", "")
--- a/lemonlead/member/run.py
+++ b/lemonlead/member/run.py
@@ -33,6 +33,22 @@
 
 
 def main(path, joins=False):
+    try:
+        told = settings.read(path)
+        folder = disk.open_folder(told.data, told.member, told.cluster)
+        try:
+            listener = bound(told.listen)
+        except Unusable:
+            folder.close()
+            raise
+        log_lines()
+        return asyncio.run(run(told, joins, folder, listener))
+    except Unusable as error:
+        print(f"lemonlead member: {path}: {error.says}; {error.do}", file=sys.stderr)
+        return 2
+
+
+def log_lines():
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -42,14 +58,6 @@
         logger_factory=structlog.PrintLoggerFactory(sys.stdout),
         cache_logger_on_first_use=True,
     )
-    try:
-        told = settings.read(path)
-        folder = disk.open_folder(told.data, told.member, told.cluster)
-        listener = bound(told.listen)
-        return asyncio.run(run(told, joins, folder, listener))
-    except Unusable as error:
-        print(f"lemonlead member: {path}: {error.says}; {error.do}", file=sys.stderr)
-        return 2
 
 
 def bound(listen):
@@ -168,10 +176,15 @@
             heartbeat=times.heartbeat,
         )
         self.why = ""
-        self.host = Host(told, kept, state, self.shelf, self.peers, self.asking, self.log, self.broken)
+        self.host = Host(
+            told, kept, state, self.duties, self.shelf, self.peers, self.asking, self.log, self.broken
+        )
         last = self.host.desk.replica.last
         self.log.info("in cluster", cluster_id=self.folder.cluster, at=state.index, last=last)
 
+    def duties(self, desk):
+        return whole.duties(desk, self.told.cluster, self.told.clusters, self.seed)
+
     # ---- from start to end
 
     async def open(self, listener):
--- a/lemonlead/member/whole.py
+++ b/lemonlead/member/whole.py
@@ -1,9 +1,14 @@
-"""The ledger as this program has it: the rules, records and duties of each module that takes part."""
+"""The ledger as this program has it: the rules, records and duties of each package that takes part."""
 
+from ..drains import rules as drains
+from ..drains.duty import Drains
 from ..ledger import capacity, followers, seating
 from ..ledger.state import Ledger
+from ..moves import rules as moves
+from ..moves.steps import Moving
 
-MODULES = [capacity, followers, seating]  # each: RULES, KINDS; where it has them INNER and DUTIES
+MODULES = (capacity, followers, seating, drains, moves)  # each: RULES, KINDS; where it has them INNER
+SHOWN = {"drains": drains.shown}  # parts that are asked for in another form than they are kept in
 
 
 def ledger():
@@ -15,6 +20,11 @@
     return Ledger(rules, kinds, inner)
 
 
-def duties(desk):
-    """What a leader does unasked: `DUTIES` of a module are classes that are given the desk."""
-    return [duty(desk) for module in MODULES for duty in getattr(module, "DUTIES", ())]
+def duties(desk, cluster, clusters, seed):
+    """What a leader does unasked. `cluster`: this one's name; `clusters`: names of those it can call."""
+    return [seating.Seating(desk), followers.Forgetting(desk), Drains(), Moving(cluster, clusters, seed)]
+
+
+def shown(state, part):
+    """A part's records by key, as they are told to whoever asks for the part."""
+    return SHOWN[part](state) if part in SHOWN else state.part(part)
