--- a/lemonlead/ledger/desk.py
+++ b/lemonlead/ledger/desk.py
@@ -130,8 +130,8 @@
             if self.replica.role != LEADER:
                 leader = self.replica.leader
                 return self.done.append(lambda door: door.polled(ticket, None, 0, None, leader))
-            if gateway in self.state.part("followers"):
-                self.followers.polled(now, gateway, after)
+            if (row := self.state.part("followers").get(gateway)) is not None:
+                self.followers.polled(now, gateway, after, row.since)
         until = now + POLL if len(self.polls) < MOST_POLLS else now
         self.polls.append(Poll(until, after, ticket))
 
--- a/lemonlead/ledger/followers.py
+++ b/lemonlead/ledger/followers.py
@@ -69,38 +69,45 @@
     """What a leader knows of each; soft, bounded by the followers in the log."""
 
     def __init__(self):
-        self.office = 0  # the moment at which this member took office
-        self.heard = {}  # name: (moment last heard, index that it has obeyed up to)
+        # name: (moment last heard, index that it has obeyed up to, `since` of the stay that it is true of)
+        self.heard = {}
 
     def took_office(self, now):
-        self.office, self.heard = now, {}
-
-    def polled(self, now, name, after):
-        """It asked for what comes after this index."""
-        _, before = self.heard.get(name, (now, 0))
-        self.heard[name] = now, max(before, after)
+        self.heard = {}
+
+    def polled(self, now, name, after, since=None):
+        """It asked for what comes after this index. `since`: of its stay; None for the one last seen."""
+        _, before, stay = self.heard.get(name, (now, 0, since))
+        if since is not None and since != stay:
+            before, stay = 0, since
+        self.heard[name] = now, max(before, after), stay
+
+    def look(self, now, rows):
+        """Whoever is first seen counts as heard now, and so does one that follows anew: under its name
+        another process may have started, which has obeyed nothing of what the one before had."""
+        for name, row in rows.items():
+            moment, after, stay = self.heard.get(name, (now, 0, row.since))
+            if stay is not None and stay != row.since:
+                moment, after = now, 0
+            self.heard[name] = moment, after, row.since
+        if len(self.heard) > len(rows):
+            self.heard = {name: heard for name, heard in self.heard.items() if name in rows}
 
     def waited_for(self, now, state, index):
         """The followers that could still act on the state before this entry: sorted names. One counts
         until it has obeyed the entry, or its lease and grace have run out since it was last heard."""
         patience = state.terms.lease + state.terms.grace
-        rows = state.part("followers")
-        late = []
-        for name in sorted(rows):
-            moment, after = self.heard.get(name, (self.office, 0))
-            if max(after, 0) < index and now - max(moment, self.office) < patience:
-                late.append(name)
-        return late
+        self.look(now, state.part("followers"))
+        heard = sorted(self.heard.items())
+        return [name for name, (moment, after, _) in heard if after < index and now - moment < patience]
 
     def next(self, now, state):
         """The command that drops one whose lease and grace ran out, or None."""
         patience = state.terms.lease + state.terms.grace
-        rows = state.part("followers")
-        self.heard = {name: heard for name, heard in self.heard.items() if name in rows}
-        for name in sorted(rows):
-            moment, _ = self.heard.get(name, (self.office, 0))
-            if now - max(moment, self.office) >= patience:
-                return Forgotten(gateway=name, since=rows[name].since)
+        self.look(now, state.part("followers"))
+        for name, (moment, _, since) in sorted(self.heard.items()):
+            if now - moment >= patience:
+                return Forgotten(gateway=name, since=since)
         return None
 
 
--- a/tests/test_ledger_state.py
+++ b/tests/test_ledger_state.py
@@ -244,6 +244,26 @@
     assert known.waited_for(160 + patience, now, 5) == ["g1", "g2"]
 
 
+def test_a_gateway_that_begins_to_follow_under_an_old_leader_has_its_whole_lease():
+    known, patience = followers.Followers(), state.TERMS.lease + state.TERMS.grace
+    known.took_office(100)
+    first = having({"kind": "follow", "gateway": "g1"})
+    late = 100 + 10 * patience
+    assert known.next(late, first) is None and known.waited_for(late, first, 5) == ["g1"]
+    assert known.next(late + patience, first).gateway == "g1"
+
+
+def test_one_that_follows_anew_has_acknowledged_nothing_of_its_earlier_stay():
+    first = having({"kind": "follow", "gateway": "g1"})
+    again = having({"kind": "follow", "gateway": "g1"}, {"kind": "follow", "gateway": "g1"})
+    known = followers.Followers()
+    known.polled(100, "g1", 9, first.part("followers")["g1"].since)
+    assert known.waited_for(200, first, 5) == []
+    assert known.waited_for(300, again, 5) == ["g1"]
+    known.polled(400, "g1", 7, again.part("followers")["g1"].since)
+    assert known.waited_for(500, again, 5) == []
+
+
 def test_a_gateway_that_came_back_is_not_dropped_for_its_earlier_stay():
     now = having({"kind": "follow", "gateway": "g1"}, {"kind": "follow", "gateway": "g1"})
     after, _ = told(now, id="z", kind="forgotten", gateway="g1", since=1)
