--- a/lemonlead/commands/settings.py
+++ b/lemonlead/commands/settings.py
@@ -7,7 +7,7 @@
 
 from .. import settings
 
-SCHEMAS = ("rules", "gateway", "fleet")
+SCHEMAS = ("rules", "gateway", "fleet", "member")
 SCHEMA = click.option(
     "--schema",
     type=click.Choice(SCHEMAS),
--- a/lemonlead/member/disk.py
+++ b/lemonlead/member/disk.py
@@ -111,6 +111,8 @@
     folder = Folder(Path(path), connect, most_pages)
     try:
         folder.open(member, label)
+    except DiskFailed as error:
+        raise Unwritable(error.says) from error
     except BaseException:
         folder.abandon()
         raise
--- a/lemonlead/member/faults.py
+++ b/lemonlead/member/faults.py
@@ -108,3 +108,14 @@
 
     outcome = UNKNOWN
     do = "ask again with the same id: it is done once"
+
+
+class Unfit(Unusable):
+    """The settings file cannot be used; nothing of it was. `faults`: all of them, each with its place."""
+
+    do = "mend the line named; lemonlead settings check --schema member FILE shows what a schema can tell"
+
+    def __init__(self, faults):
+        more = f" and {len(faults) - 1} more" if len(faults) > 1 else ""
+        super().__init__(f"{faults[0]}{more}")
+        self.faults = faults
--- a/lemonlead/member/run.py
+++ b/lemonlead/member/run.py
@@ -174,6 +174,7 @@
             self.seed,
             election=times.election,
             heartbeat=times.heartbeat,
+            **self.told.bounds,
         )
         self.why = ""
         self.host = Host(
