--- a/lemonlead/moves/steps.py
+++ b/lemonlead/moves/steps.py
@@ -7,10 +7,14 @@
 import random
 from dataclasses import dataclass
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta, Struct
 
 from ..ledger.desk import Call
 from . import rules
+from .faults import HoldKept
 from .rules import (
     ASKED, BAKE, BEFORE_SETTLING, DROPPING, GOING_BACK, MEMBERS, OVERDUE, PATIENCE, REFUSED, RESERVING,
     SETTLING, SHIFTING, STAGES, WARMING,
@@ -26,6 +30,22 @@
 OK, SENSELESS, NO = 200, 400, 409
 
 
+class Error(Struct, frozen=True):
+    type: str = ""
+    says: str = ""
+    do: str = ""
+
+
+class Answer(Struct, frozen=True):
+    """What another cluster answered, as far as it is read; anything else is as good as no answer."""
+
+    at: Annotated[int, Meta(ge=0, lt=1 << 62)] = 0
+    warm: bool = False
+    cold_ms: Annotated[int, Meta(ge=0, lt=1 << 40)] = 0
+    serving: Annotated[int, Meta(ge=0, lt=1 << 31)] = 0
+    error: Error = Error()
+
+
 @dataclass(slots=True)
 class Task:
     """What is under way for one move at one step; a new step begins a new one."""
@@ -36,7 +56,7 @@
     wait: int = 0  # no call before this moment
     tries: int = 0  # calls since the last answer
     number: int = 0  # of the call; the same again until it is answered
-    answer: tuple | None = None  # (code, body), and when it came
+    answer: tuple | None = None  # (code, Answer), and when it came
     answered: int = 0
 
 
@@ -59,8 +79,9 @@
         for task in self.tasks.values():
             if task.call is not None and task.call.data == call.data:
                 task.call = None
-                if code in (OK, NO, SENSELESS):
-                    task.answer, task.answered, task.tries = (code, body), now, 0
+                answer = read(code, body)
+                if answer is not None:
+                    task.answer, task.answered, task.tries = (code, answer), now, 0
                     task.number += 1
                     self.counts["refused there"] += code != OK
                 else:
@@ -148,9 +169,8 @@
         )
 
     def refused(self, name, move, body):
-        error = body.get("error") or {}
-        says = f"{move.to}: {error.get('type', '')}: {error.get('says', '')}"
-        return self.back(name, move, REFUSED, says, str(error.get("do", "")))
+        says = f"{move.to}: {body.error.type}: {body.error.says}"
+        return self.back(name, move, REFUSED, says, body.error.do)
 
     # ---- the steps
 
@@ -169,7 +189,7 @@
         )
         if code is None:
             return call
-        return self.on(name, move, proof=body["at"]) if code == OK else self.refused(name, move, body)
+        return self.on(name, move, proof=body.at) if code == OK else self.refused(name, move, body)
 
     def warm(self, now, moment, name, move, state, followers, task):
         (code, body), call = self.ask(now, name, move, state, task, rules.HoldWarm)
@@ -177,9 +197,9 @@
             return call
         if code != OK:
             return self.refused(name, move, body)
-        if body["warm"]:
-            return self.on(name, move, proof=body["at"])
-        return self.again(task, now, min(max(body["cold_ms"] * 10**6, SECOND), LOOK))
+        if body.warm:
+            return self.on(name, move, proof=body.at)
+        return self.again(task, now, min(max(body.cold_ms * 10**6, SECOND), LOOK))
 
     def hand_over(self, now, moment, name, move, state, followers, task):
         group = next((group for group in move.groups if group.over < len(group.nodes)), None)
@@ -192,8 +212,8 @@
             return call
         if code != OK:
             return self.refused(name, move, body)
-        if body["serving"] > group.over:
-            return self.on(name, move, proof=body["at"], group=group.group, serving=body["serving"])
+        if body.serving > group.over:
+            return self.on(name, move, proof=body.at, group=group.group, serving=body.serving)
         return self.again(task, now, SECOND)
 
     def shift(self, now, moment, name, move, state, followers, task):
@@ -218,7 +238,7 @@
             return call
         if code == SENSELESS:
             return self.again(task, now, LONGEST_WAIT)
-        return self.on(name, move, proof=body["at"]) if code == OK else self.refused(name, move, body)
+        return self.on(name, move, proof=body.at) if code == OK else self.refused(name, move, body)
 
     def go_back(self, now, moment, name, move, state, followers, task):
         """Nothing is dropped there while a gateway may still send there."""
@@ -231,10 +251,9 @@
         if code is None:
             return call
         if code == OK:
-            return self.on(name, move, proof=body["at"])
-        error = body.get("error") or {}
-        if error.get("type") == "HoldKept":
-            return self.on(name, move, says=f"{move.to}: {error.get('says', '')}"[:500])
+            return self.on(name, move, proof=body.at)
+        if body.error.type == HoldKept.__name__:
+            return self.on(name, move, says=f"{move.to}: {body.error.says}"[:500])
         return self.again(task, now, LONGEST_WAIT)
 
 
@@ -248,3 +267,12 @@
     GOING_BACK: Moving.go_back,
     DROPPING: Moving.drop,
 }
+
+
+def read(code, body):
+    """The answer, or None where it tells nothing. A 200 says at which entry."""
+    try:
+        answer = msgspec.convert(body, Answer) if code in (OK, NO, SENSELESS) else None
+    except msgspec.ValidationError:
+        return None
+    return None if answer is not None and code == OK and not answer.at else answer
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -13,6 +13,7 @@
 from lemonlead.interface import ERRED, HARMLESS, SUCCEEDED, Lane, Lookup
 from lemonlead.ledger import capacity
 from lemonlead.ledger.faults import Refused
+from lemonlead.member import whole
 from lemonlead.moves import rules, steps
 from lemonlead.moves.shift import FAR, NEAR, Shift
 from lemonlead.standins import two_clusters
@@ -237,11 +238,12 @@
     assert world.sides["ebene"].state.parts == before and len(again) > 5
 
 
-def test_move_to_a_cluster_that_nobody_knows():
+@pytest.mark.parametrize("to", ("atlantis", "louis"))
+def test_move_to_a_cluster_that_nobody_knows_or_to_itself(to):
     world = made()
-    begin(world, to="atlantis")
+    begin(world, to=to)
     assert ends(world) == "refused"
-    assert "atlantis" in world.move("m").says and holders(world) == ["louis"]
+    assert to in world.move("m").says and holders(world) == ["louis"]
 
 
 @pytest.mark.parametrize("step", STEPS[1:8:2], ids=NAMES[1:8:2])
@@ -526,6 +528,45 @@
     assert ends(world) == "sent back" and holders(world) == ["louis"]
 
 
+# ---- what another cluster answers may be anything
+
+ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(
+        st.sampled_from(("at", "warm", "cold_ms", "serving", "error", "type", "says", "do", "x")),
+        inner,
+        max_size=6,
+    ),
+    max_leaves=8,
+)
+
+
+@settings(max_examples=20, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.sampled_from((0, -1, 200, 400, 409, 500, 503)), ANYTHING), max_size=6))
+def test_answers_that_make_no_sense_harm_nothing(garbage):
+    world, rest = made(group=1), list(garbage)
+    taken = world.taken
+    world.taken = lambda call: rest.pop() if rest else taken(call)
+    begin(world)
+    assert ends(world) in ("done", "refused")
+
+
+@pytest.mark.parametrize("source, code", (("louis", 200), ("a/b", 400), ("", 400)))
+def test_a_source_whose_name_could_be_taken_for_another_makes_no_sense(source, code):
+    take = rules.HoldTake(
+        id="x", source=source, move="m", epoch=5, floor=5, service="s",
+        pieces=(rules.Piece("r", 1, 0, "ebene"),),
+    )
+    assert made().sides["ebene"].do(take)[0] == code
+
+
+def test_the_ledger_of_the_program_takes_moves_in():
+    found = whole.ledger()
+    assert set(rules.RULES) <= set(found.rules) and set(rules.KINDS) <= set(found.kinds)
+    assert set(rules.INNER) <= set(found.inner)
+
+
 # ---- the checker catches faults put in on purpose
 
 
