--- a/lemonlead/drains/duty.py
+++ b/lemonlead/drains/duty.py
@@ -17,7 +17,7 @@
 )
 from .feasible import named
 from .ground import NO_LOAD
-from .planner import Asked, Plan
+from .planner import Plan
 from .rules import (
     CLEAR,
     DOWN,
@@ -36,8 +36,8 @@
     PermitCommand,
     stuck_by,
 )
+from .view import NEVER, View
 
-NEVER = 1 << 62
 LATE = 600_000_000_000  # a node that takes longer for a phase is told of, and the next wave goes without it
 LOOK = 200_000_000  # between looks while only promises change
 ASK = 20_000_000  # between looks whether each gateway has acknowledged
@@ -58,7 +58,8 @@
     def took_office(self, now):
         self.seen, self.look, self.ask, self.wake = None, 0, 0, NEVER
         self.index, self.at = -1, now  # the last entry seen, and when
-        self.plan, self.planned, self.rest, self.tell = Plan(), None, (), 0
+        self.view, self.rest, self.tell = View(), (), 0
+        self.plan = Plan(self.view.asked)
 
     def called(self, now, call, code, body):
         raise AssertionError("drains call nobody")
@@ -131,6 +132,8 @@
         if busy:
             return ()
         self.replan(moment, state, running)
+        if self.plan.far():
+            self.plan.make(self.view.asked)
         found = ground.sums(state, moment) if self.plan.waves else {}
         for wave in self.plan.waves[:MOST_WAVES]:
             names = tuple(sorted(wave))
@@ -146,15 +149,12 @@
         return ()
 
     def replan(self, moment, state, running):
-        parts = tuple(state.part(name) for name in (*WATCHED, "sites", "loads"))
         late = frozenset(name for name, held in state.part("permits").items() if self.is_late(held, moment))
-        if self.planned is not None and self.planned[1] == late:
-            if all(a is b for a, b in zip(parts, self.planned[0], strict=True)):
-                return
-            self.plan.change(asked(state, moment, running, late))
-        else:
-            self.plan.make(asked(state, moment, running, late))
-        self.planned = parts, late
+        names, limits = self.view.update(state, running, late)
+        if len(names) * 4 > len(self.view.asked.takes):
+            self.plan.make(self.view.asked)
+        elif names or limits:
+            self.plan.change(names, limits)
 
     # ---- what is told, and drains that are late
 
@@ -247,49 +247,6 @@
     return int(node.units * state.terms.cold_share) if node.warm > moment else node.units
 
 
-def asked(state, moment, running, late):
-    """What the planner is to place: the nodes that drains want and that may go, against what each group and
-    site lets go once those that are away for a drain, and not late, are back and warm."""
-    nodes, loads, permits = state.part("nodes"), state.part("loads"), state.part("permits")
-    rows, terms, wants = state.part("groups"), state.terms, state.part("wants")
-    away = {name for name, node in nodes.items() if not up(node)}
-    awaited = {name for name in away if name in permits and nodes[name].state != FAILED and name not in late}
-    found = ground.sums(state, moment)
-    made = Asked()
-    for site, sums in found.items():
-        made.caps["units", site] = sums.warm - sums.need
-        made.caps["share", site] = sums.most_away(terms) - sums.away
-    for name in awaited:
-        made.caps["units", nodes[name].site] += nodes[name].units
-        made.caps["share", nodes[name].site] += 1
-    lasting = {nodes[name].site for name in late if name in away and nodes[name].state != FAILED}
-    for site in found:
-        if site not in lasting:  # one may always go
-            made.caps["share", site] = max(1, made.caps["share", site])
-    several = len(running) > 1
-    ranks = {name: (one.deadline_ms or NEVER, one.since) for name, one in running.items()}
-    for name, drains in wants.items():
-        if name in permits and permits[name].phase != RECALLED:
-            continue
-        node, load = nodes[name], loads.get(name, NO_LOAD)
-        if load.gangs or not (up(node) or node.out):
-            continue
-        gone = name in late  # counted as away already
-        counts = 1 if node.state == SERVING and not gone else 0
-        takes = [(("units", node.site), 0 if gone else node.units), (("share", node.site), 0 if gone else 1)]
-        for group in load.groups:
-            limit = "group", group
-            takes.append((limit, counts))
-            if limit not in made.caps:
-                row = rows[group]
-                hoped = sum(nodes[n].state == SERVING and not nodes[n].out or n in awaited for n in row.nodes)
-                made.caps[limit] = hoped - row.quorum
-        made.takes[name] = tuple(takes)
-        if several:
-            made.ranks[name] = min(ranks[one] for one in drains)
-    return made
-
-
 def told_of(plan, state, running, wall_ms, moment, late):
     """Drain to (waves, names of the next one, what stands in the way)."""
     wants = state.part("wants")
@@ -350,4 +307,4 @@
 
 
 LATE_BY = {CLEAR: NotDown, DOWN: NotBack, RETURNING: StaysCatchingUp, RECALLED: StaysOut}
-__all__ = ["Drains", "asked", "in_the_way", "take_back"]
+__all__ = ["Drains", "in_the_way", "take_back"]
--- a/lemonlead/drains/planner.py
+++ b/lemonlead/drains/planner.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 TRIES = 24  # more rounds while the waves are more than the lower bound
-WORK = 60_000  # nodes placed in all rounds: large fleets get fewer
+WORK = 30_000  # nodes placed in all rounds: large fleets get fewer
 WITHIN = 1.25  # of the lower bound: past it, a plan that was changed is made anew
 
 
@@ -53,6 +53,7 @@
         self.asked, self.blocked = Asked(), {}
         self.waves, self.used, self.where = [], [], {}  # names (a dict, in order); limit to sum; name to wave
         self.first, self.least = {}, {}  # limit to the first wave with room; to the least that a node takes
+        self.took, self.totals, self.most = {}, {}, {}  # what each placed node takes; by limit: sum, most
         self.bound = 0
         if asked is not None:
             self.make(asked)
@@ -80,6 +81,7 @@
 
     def fill(self, names):
         self.waves, self.used, self.where, self.first, self.least = [], [], {}, {}, {}
+        self.took, self.totals, self.most = {}, {}, {}
         for name in names:
             self.note(name)
         for name in names:
@@ -109,6 +111,7 @@
         for limit, much in self.asked.takes[name]:
             if much:
                 self.least[limit] = min(self.least.get(limit, much), much)
+                self.most[limit] = max(self.most.get(limit, 0), much)
 
     def place(self, name):
         caps, takes, used, first, least = (
@@ -139,57 +142,75 @@
         if wave == count:
             used.append({})
             self.waves.append({})
-        sums = used[wave]
+        self.put(name, wave)
+
+    def put(self, name, wave):
+        takes, sums, totals = self.asked.takes[name], self.used[wave], self.totals
         for limit, much in takes:
             sums[limit] = sums.get(limit, 0) + much
+            totals[limit] = totals.get(limit, 0) + much
         self.waves[wave][name] = None
-        self.where[name] = wave
+        self.where[name], self.took[name] = wave, takes
 
     def remove(self, name):
         wave = self.where.pop(name)
         del self.waves[wave][name]
         sums = self.used[wave]
-        for limit, much in self.asked.takes[name]:
+        for limit, much in self.took.pop(name):
             sums[limit] -= much
+            self.totals[limit] -= much
             if self.first.get(limit, 0) > wave:
                 self.first[limit] = wave
 
     # ---- after an event
 
-    def change(self, asked):
-        """The same plan for what is asked now: what is gone leaves, what has no room any more or is new is
-        placed anew. Made anew whole where it would be far from the lower bound."""
-        old, self.asked = self.asked, asked
-        left = []
-        for name in [*self.where]:
-            if asked.takes.get(name) != old.takes[name]:
-                self.asked = old
-                self.remove(name)
-                self.asked = asked
-        tight = {limit for limit, cap in asked.caps.items() if cap < old.caps.get(limit, cap)}
-        wider = {limit for limit, cap in asked.caps.items() if cap > old.caps.get(limit, cap)}
-        for limit in wider:
-            self.first.pop(limit, None)
-        self.blocked = {name: limit for name in asked.takes if (limit := blocked(asked, name)) is not None}
-        for name in self.blocked:
+    def change(self, names, limits):
+        """The same plan after `asked` has changed: `names` take other parts, came or went; `limits` have
+        other caps. What is gone leaves, what has no room any more or is new is placed anew; nothing else
+        is touched. The waves may become more than a whole plan's: see `far`."""
+        takes, caps = self.asked.takes, self.asked.caps
+        new = set()
+        for name in names:
+            self.blocked.pop(name, None)
             if name in self.where:
                 self.remove(name)
+            if name in takes:
+                new.add(name)
+        for limit in limits:
+            self.first.pop(limit, None)
+        tight = [limit for limit in limits if caps.get(limit, 0) < self.most.get(limit, 0)]
         if tight:
-            left = self.evict(tight)
-        for name in left:
+            for name in [*self.where]:
+                if (limit := blocked(self.asked, name)) is not None:
+                    self.remove(name)
+                    self.blocked[name] = limit
+        for name in [*self.blocked]:
+            limit = blocked(self.asked, name)
+            if limit is None:
+                del self.blocked[name]
+                new.add(name)
+            else:
+                self.blocked[name] = limit
+        for name in self.evict(limits):
             self.remove(name)
-        new = [name for name in asked.takes if name not in self.where and name not in self.blocked]
-        for name in new:
+            new.add(name)
+        for name in sorted(new):
             self.note(name)
+            if (limit := blocked(self.asked, name)) is not None:
+                self.blocked[name] = limit
+                new.discard(name)
         for name in self.scarcest(new):
             self.place(name)
         self.close_up()
-        names = list(self.where)
-        self.bound = lower_bound(asked, names)
+        totals = self.totals.items()
+        self.bound = max((-(-total // caps[limit]) for limit, total in totals if total), default=0)
+        self.bound = max(self.bound, 1 if self.where else 0)
         while len(self.waves) > self.bound and self.dissolve():
             pass
-        if len(self.waves) > max(self.bound + 1, WITHIN * self.bound):
-            self.make(asked)
+
+    def far(self):
+        """Whether it is worth to make it anew whole."""
+        return len(self.waves) > max(self.bound + 1, WITHIN * self.bound)
 
     def evict(self, tight):
         """Names that have to leave their waves, as a limit lets fewer go."""
@@ -247,10 +268,3 @@
             ):
                 return wave
         return None
-
-    def put(self, name, wave):
-        sums = self.used[wave]
-        for limit, much in self.asked.takes[name]:
-            sums[limit] = sums.get(limit, 0) + much
-        self.waves[wave][name] = None
-        self.where[name] = wave
