--- a/lemonlead/drains/planner.py
+++ b/lemonlead/drains/planner.py
@@ -54,6 +54,7 @@
         self.waves, self.used, self.where = [], [], {}  # names (a dict, in order); limit to sum; name to wave
         self.first, self.least = {}, {}  # limit to the first wave with room; to the least that a node takes
         self.took, self.totals, self.most = {}, {}, {}  # what each placed node takes; by limit: sum, most
+        self.index = None  # limit to the names placed that take part of it; made once wanted
         self.bound = 0
         if asked is not None:
             self.make(asked)
@@ -81,7 +82,7 @@
 
     def fill(self, names):
         self.waves, self.used, self.where, self.first, self.least = [], [], {}, {}, {}
-        self.took, self.totals, self.most = {}, {}, {}
+        self.took, self.totals, self.most, self.index = {}, {}, {}, None
         for name in names:
             self.note(name)
         for name in names:
@@ -151,6 +152,9 @@
             totals[limit] = totals.get(limit, 0) + much
         self.waves[wave][name] = None
         self.where[name], self.took[name] = wave, takes
+        if self.index is not None:
+            for limit, _ in takes:
+                self.index.setdefault(limit, {})[name] = None
 
     def remove(self, name):
         wave = self.where.pop(name)
@@ -159,6 +163,8 @@
         for limit, much in self.took.pop(name):
             sums[limit] -= much
             self.totals[limit] -= much
+            if self.index is not None:
+                self.index[limit].pop(name, None)
             if self.first.get(limit, 0) > wave:
                 self.first[limit] = wave
 
@@ -169,6 +175,11 @@
         other caps. What is gone leaves, what has no room any more or is new is placed anew; nothing else
         is touched. The waves may become more than a whole plan's: see `far`."""
         takes, caps = self.asked.takes, self.asked.caps
+        if self.index is None:
+            self.index = {}
+            for name, some in self.took.items():
+                for limit, _ in some:
+                    self.index.setdefault(limit, {})[name] = None
         new = set()
         for name in names:
             self.blocked.pop(name, None)
@@ -178,12 +189,12 @@
                 new.add(name)
         for limit in limits:
             self.first.pop(limit, None)
-        tight = [limit for limit in limits if caps.get(limit, 0) < self.most.get(limit, 0)]
-        if tight:
-            for name in [*self.where]:
-                if (limit := blocked(self.asked, name)) is not None:
-                    self.remove(name)
-                    self.blocked[name] = limit
+        for limit in limits:
+            if caps[limit] < self.most.get(limit, 0):
+                for name in [*self.index.get(limit, ())]:
+                    if (found := blocked(self.asked, name)) is not None:
+                        self.remove(name)
+                        self.blocked[name] = found
         for name in [*self.blocked]:
             limit = blocked(self.asked, name)
             if limit is None:
@@ -212,23 +223,20 @@
         """Whether it is worth to make it anew whole."""
         return len(self.waves) > max(self.bound + 1, WITHIN * self.bound)
 
-    def evict(self, tight):
-        """Names that have to leave their waves, as a limit lets fewer go."""
-        caps, takes, out = self.asked.caps, self.asked.takes, []
-        for wave, sums in enumerate(self.used):
-            over = {
-                limit: sums[limit] - caps[limit]
-                for limit in tight
-                if sums.get(limit, 0) > max(0, caps[limit])
-            }
-            if not over:
-                continue
-            for name in [*self.waves[wave]][::-1]:
-                if any(over.get(limit, 0) > 0 and much for limit, much in takes[name]):
-                    out.append(name)
-                    for limit, much in takes[name]:
-                        if limit in over:
-                            over[limit] -= much
+    def evict(self, limits):
+        """Names that have to leave their waves, as a limit lets fewer go: those placed last first."""
+        out = {}
+        for limit in sorted(limits):
+            over = {}
+            for wave, sums in enumerate(self.used):
+                if sums.get(limit, 0) > max(0, self.asked.caps[limit]):
+                    over[wave] = sums[limit] - self.asked.caps[limit]
+            for name in [*self.index.get(limit, ())][::-1] if over else ():
+                wave = self.where[name]
+                much = sum(much for one, much in self.took[name] if one == limit)
+                if over.get(wave, 0) > 0 and much:
+                    over[wave] -= much
+                    out[name] = None
         return out
 
     def close_up(self):
