--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -27,6 +27,7 @@
 LOOKS, FLAGS = 8, 3  # looks at thin evidence a trial; wrong answers that send back, at twice the usual rate
 PACE_AGE = 2000 * MS  # what is known of how long answers take is no older than this
 STEEP = 2  # shed by so many times what is past the next
+LEAST = 0.5  # of the mean revenue: none is shed by less, so that it is let in half as often as at the mean
 EASY = 0.45  # the share of its goal time that a lookup may take on average before some are pushed back
 OVERDUE = 2.5  # times what its work usually takes; one answer in twenty or thirty is later
 LOST = 4  # a zone and kind costs so much more when all that was sent there of late was lost on the way
@@ -347,7 +348,8 @@
                 return True
             self.tested.update(dict.fromkeys(kinds, now))
         excess = min(STEEP * (self.pace - EASY), 0.9) * self.blind
-        return excess > 0 and self.rng.random() < excess ** (lookup.lane.revenue / self.mean_revenue)
+        weight = max(lookup.lane.revenue / self.mean_revenue, LEAST)
+        return excess > 0 and self.rng.random() < excess**weight
 
     def waits(self, lookup):
         """Whether its lane or customer alone waits at all machines: this tells nothing of them or a build."""
--- /dev/null
+++ b/tests/days.py
@@ -0,0 +1,168 @@
+"""Days of the planner's world with more of what the standing test asks about: what is sent to cold machines,
+what each lane and customer gets by thirds, gateways that die and come back, and the policy that each is held
+against, which sees the true state of every machine late. Times in nanoseconds; loads in lookups a second."""
+
+import bisect
+import random
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+from lemonlead import interface as at
+from lemonlead.planning.world import Gateway, World
+
+S, LATE = 1_000_000_000, 100_000_000
+
+
+class Seer:
+    """In a balancer's place: the least busy of three machines by their true state of some time ago. What
+    would wait there for over a quarter of its goal time is pushed back: the best bound of those tried."""
+
+    def __init__(self, day, number):
+        self.day, self.due, self.random = day, deque(), random.Random(number)
+
+    def listed(self, *_):
+        pass
+
+    stage_told = vote_answered = list_failed = listed
+
+    def wake_at(self):
+        return 1 << 62
+
+    def lookup_arrived(self, now, lookup):
+        self.due.append(lookup)
+
+    def lookup_left(self, now, lookup):
+        lookup.over = True
+
+    def send_ended(self, now, send, end, took, over, report):
+        send.end, send.lookup.over = end, send.lookup.over or over
+        self.due.append(send.lookup)
+
+    def decide(self, now, door):
+        while self.due:
+            if not (lookup := self.due.popleft()).over:
+                self.settle(lookup, now, door)
+                return True
+        return False
+
+    def settle(self, lookup, now, door):
+        seen, tried = self.day.seen[0], [send.instance for send in lookup.sends]
+        fit = [number for number in seen if number not in tried]
+        some = self.random.sample(fit, min(3, len(fit)))
+        best = min(some, key=lambda number: seen[number], default=None)
+        ran = lookup.lane.effect == at.ONE_SHOT and any(s.end not in at.NEVER_RAN for s in lookup.sends)
+        if best is None or ran or 4 * seen[best] > lookup.lane.goal_time:
+            lookup.over = True
+            return door.push_back(lookup, LATE // 2)
+        lookup.sends.append(at.Send(lookup, len(lookup.sends), best, now))
+        return door.send(lookup, best, lookup.hard_stop - now)
+
+
+@dataclass
+class Day(World):
+    """`weights`: how often a lookup is of each customer. `burst`: the load, by the usual one, in the last
+    three fifths of each third of `length` seconds; in the rest it is 0.6. None: always the usual one."""
+
+    length: int = 12
+    weights: tuple = (1.0,)
+    burst: float | None = None
+    late: bool = False  # the late-seeing policy in place of the balancers
+    sent: dict = field(default_factory=dict)  # by machine that is cold: when each send went there, its work
+    asked: Counter = field(default_factory=Counter)  # by (what, which, third)
+    served: Counter = field(default_factory=Counter)  # likewise, answered within their goal time
+
+    def __post_init__(self):
+        super().__post_init__()
+        self.kept, self.seen = {}, deque()
+        if self.late:
+            for gateway in self.gateways:
+                gateway.balancer = Seer(self, gateway.number)
+            self.at(0, self.look)
+
+    def played_out(self):
+        self.play(self.length)
+        return self
+
+    def gap(self, rate):
+        third = self.length * S // 3
+        part = 1.0 if self.burst is None else 0.6 if self.now % third < 0.4 * third else self.burst
+        return super().gap(rate * part)
+
+    # ---- what the late-seeing policy sees
+
+    def look(self):
+        self.seen.append({machine.number: self.waits(machine) for machine in self.machines if machine.up})
+        while len(self.seen) > 2:
+            self.seen.popleft()
+        if self.now < self.length * S:
+            self.at(self.now + LATE, self.look)
+
+    def waits(self, machine):
+        """How long a lookup that comes now waits there, in nanoseconds."""
+        held = sum(send.lookup.work for _, send, _ in machine.queue) + machine.busy * self.mean_work() / 2
+        return held / machine.kind.cores / machine.kind.speed
+
+    def mean_work(self):
+        lanes = self.fleet.lanes.items()
+        rates = {name: self.fleet.rate(name) for name, _ in lanes}
+        return sum(rates[name] * lane.work for name, lane in lanes) / sum(rates.values())
+
+    # ---- gateways that die and come back
+
+    def kill(self, numbers):
+        for number in numbers:
+            gateway = self.gateways[number]
+            gateway.up, wants, gateway.wants = False, list(gateway.wants.values()), {}
+            for want in wants:
+                self.answered(want, "lost", 0)
+
+    def revive(self, numbers):
+        lines = [self.line(machine) for machine in self.machines if machine.up]
+        for number in numbers:
+            site = self.gateways[number].site
+            gateway = self.gateways[number] = Gateway(self, site, number, self.start(site, number))
+            gateway.balancer.listed(self.now, lines, True, True)
+            gateway.balancer.stage_told(self.now, 1, 0, at.RELEASED, 1.0, 0)
+
+    # ---- what is counted
+
+    def send(self, gateway, send, number, time_out):
+        machine = self.machines[number]
+        if machine.started and self.now < machine.started + self.fleet.warm:
+            self.sent.setdefault(number, []).append((self.now, send.lookup.work))
+        super().send(gateway, send, number, time_out)
+
+    def ask(self, want):
+        if want not in self.kept:
+            customer = self.random.choices(range(len(self.weights)), self.weights)[0]
+            third = min(want.first * 3 // (self.length * S), 2)
+            self.kept[want] = ("lane", want.lane.number, third), ("customer", customer, third)
+            self.asked.update(self.kept[want])
+        super().ask(want)
+
+    def answered(self, want, ending, hold_off):
+        if ending == "succeeded" and self.now - want.first <= want.lane.goal_time:
+            self.served.update(self.kept[want])
+        super().answered(want, ending, hold_off)
+
+    def share(self, what, which=None, third=None):
+        """Of the lookups of this lane or customer (None: of all) in this third (None: all day)."""
+        keys = [key for key in self.asked if key[0] == what and which in (None, key[1])]
+        keys = [key for key in keys if third in (None, key[2])]
+        return sum(self.served[key] for key in keys) / sum(self.asked[key] for key in keys)
+
+    def pressed(self):
+        """The most that any cold machine got in a window by what it bears: N + 3 x root of N + 3 lookups of
+        mean work, N being what is told to be allowed at the window's start."""
+        fleet, mean, most = self.fleet, self.mean_work(), 0.0
+        for number, sends in self.sent.items():
+            machine, times = self.machines[number], [moment for moment, _ in sends]
+            for first, moment in enumerate(times):
+                last = bisect.bisect_left(times, moment + fleet.cold_window)
+                age = (moment - machine.started) / fleet.warm
+                warm = fleet.cold_share + (1 - fleet.cold_share) * min(age, 1.0)
+                can = machine.kind.cores * machine.kind.speed * warm * fleet.cold_window / mean
+                bears = fleet.cold_multiple * can
+                got = sum(work for _, work in sends[first:last]) / mean
+                most = max(most, got / (bears + 3 * bears**0.5 + 3))
+        return most
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -5,12 +5,14 @@
 
 import contextlib
 import json
+import re
 import signal
 import socket
 import threading
 from types import SimpleNamespace
 
 import pytest
+from days import Day, S
 from helpers import MS, NOW, Desk, balancer, line, lookup
 from lemonlead import interface as at
 from lemonlead.balance import Balancer
@@ -22,6 +24,7 @@
 from lemonlead.gateway.discovery import Discovery
 from lemonlead.gateway.http import Objects
 from lemonlead.gateway.place import address
+from lemonlead.planning import fleet
 from lemonlead.standins import clients
 from lemonlead.standins.discovery import DiscoveryServer, entry
 from lemonlead.standins.fleet import SETTINGS, gateway
@@ -268,3 +271,101 @@
             thread.join(60)
         assert {words[1] for words in server.got} == answered  # what was read is answered
         assert len(asked) >= len(answered) + 6  # what each asked last met a closing, or nobody
+
+
+# ---- what a cold instance gets of all gateways together
+
+FLEET = """
+kinds: {fast: {cores: 3, slots: 70}, slow: {cores: 3, speed: 0.6, slots: 70}}
+lanes: {
+	look: {work: 180ms, cv: 0.85, goal: 1200ms, stop: 5s, revenue: 3.0}
+	check: {work: 110ms, cv: 0.8, goal: 1s, stop: 2500ms}
+	hold: {work: 110ms, cv: 0.8, goal: 1s, stop: 4s, effect: "stamped", revenue: 2.0}
+	buy: {work: 110ms, cv: 0.8, goal: 1s, stop: 4s, effect: "one-shot", revenue: 2.0}
+}
+clients: {retries: 1, patience: 0.6}
+notice: 200ms
+cold: {share: 0.3, warm: 4s, multiple: 2.0, window: 1s}
+sites: {
+	one: {gateways: 50, instances: {fast: 4, slow: 3}, load: {look: 40, check: 36, hold: 20, buy: 12}}
+	two: {gateways: 50, instances: {fast: 4, slow: 3}, load: {look: 40, check: 36, hold: 20, buy: 12}}
+	three: {gateways: 50, instances: {fast: 4, slow: 3}, load: {look: 40, check: 36, hold: 20, buy: 12}}
+}
+"""
+
+
+@pytest.fixture
+def fleet_of(tmp_path):
+    def read(text=FLEET):
+        (tmp_path / "fleet.cue").write_text(text)
+        return fleet.read(tmp_path / "fleet.cue")
+
+    return read
+
+
+@pytest.mark.parametrize("died, came_back", [(None, None), (2.4, 3.4), (3.4, 4.4)])
+def test_no_cold_instance_gets_more_of_all_gateways_together_than_it_bears(died, came_back, fleet_of):
+    """A third of the instances come back cold after 3 s; seven in ten of 150 gateways die and come back."""
+    day = Day(fleet_of(), 5, length=6)
+    day.lose("two", S, 3 * S, gateways=False)
+    if died:
+        dead = day.random.sample(range(150), 105)
+        day.at(int(died * S), day.kill, dead)
+        day.at(int(came_back * S), day.revive, dead)
+    day.played_out()
+    assert len(day.sent) == 7 and sum(map(len, day.sent.values())) > 70  # they do get some
+    assert day.pressed() < 1
+
+
+# ---- what each lane and customer gets of what a policy serves that sees the true state late
+
+CROWD = """
+kinds: {fast: {cores: 3, slots: 70}, slow: {cores: 3, speed: 0.6, slots: 70}}
+lanes: {
+	look: {work: 180ms, cv: 0.85, goal: 1200ms, stop: 5s, revenue: 2.0}
+	check: {work: 110ms, cv: 0.8, goal: 1s, stop: 2500ms, revenue: 2.0}
+	hold: {work: 110ms, cv: 0.8, goal: 1s, stop: 4s, effect: "stamped", revenue: 2.0}
+	buy: {work: 110ms, cv: 0.8, goal: 1s, stop: 4s, effect: "one-shot", revenue: 2.0}
+}
+clients: {retries: 1, patience: 0.6}
+sites: {
+	one: {gateways: 12, instances: {fast: 2, slow: 2}, load: LOAD}
+	two: {gateways: 12, instances: {fast: 2, slow: 2}, load: LOAD}
+}
+"""
+WORK = {"look": 0.18, "check": 0.11, "hold": 0.11, "buy": 0.11}
+
+
+def crowd(starved=None):
+    """A fleet that its usual load fills; one lane has a twentieth of the lookups, a fifth of the revenue."""
+    shares = {lane: 0.05 if lane == starved else 0.95 / 3 if starved else 0.25 for lane in WORK}
+    rate = 2 * (3 + 3 * 0.6) / sum(shares[lane] * work for lane, work in WORK.items())
+    load = "{" + ", ".join(f"{lane}: {share * rate:.2f}" for lane, share in shares.items()) + "}"
+    return re.sub(rf"(\t{starved}: .*revenue:) 2.0", r"\1 0.4", CROWD.replace("LOAD", load))
+
+
+@pytest.mark.parametrize("starved", WORK)
+def test_the_lane_of_least_revenue_gets_its_half_and_so_does_each_third_of_a_long_day(starved, fleet_of):
+    rules = dict(length=15, burst=1.3)
+    ours, seer = (Day(fleet_of(crowd(starved)), 2, late=late, **rules).played_out() for late in (False, True))
+    for lane in range(4):
+        assert ours.share("lane", lane) >= 0.5 * seer.share("lane", lane) > 0.15
+    for third in range(3):
+        assert ours.share("lane", third=third) >= 0.5 * seer.share("lane", third=third) > 0.15
+
+
+def test_each_customer_inside_its_share_gets_its_third_while_another_floods(fleet_of):
+    rules = dict(length=15, burst=1.5, weights=(0.05, 0.05, 0.2, 0.7))  # the last one is far past its share
+    ours, seer = (Day(fleet_of(crowd()), 2, late=late, **rules).played_out() for late in (False, True))
+    for customer in range(3):
+        assert ours.share("customer", customer) >= seer.share("customer", customer) / 3 > 0.1
+
+
+@pytest.mark.parametrize("pace", [0.5, 0.6, 0.8, 1.5])
+def test_however_little_a_lane_earns_it_is_let_in_half_as_often_as_the_mean(pace):
+    lanes = [at.Lane(n, at.HARMLESS, S, 4 * S, revenue) for n, revenue in enumerate((0.01, 1.0, 1.99))]
+    made = balancer([line(1)], lanes=lanes, balancers=200)
+    made.pace, let_in = pace, []
+    for lane in lanes:
+        let_in.append(sum(not made.sheds(lookup(on=lane), NOW) for _ in range(5000)))
+    assert let_in[0] >= 0.48 * let_in[1] and let_in[0] < let_in[1] < let_in[2]
