--- a/lemonlead/following/words.py
+++ b/lemonlead/following/words.py
@@ -69,27 +69,21 @@
         if type(event) is not dict:
             raise Unreadable("an event that is none")
         last = whole_number(event, "index", last + 1)
-        changes += [change for change in changed(event.get("changes")) if change[0] in PARTS]
+        changes += changed(event.get("changes"))
     if last > max(at, after):
         raise Unreadable(f"an event of entry {last} in an answer up to {at}")
     return News(at, changes, moment=moment(told))
 
 
 def changed(told):
-    """Changes as a list of objects with `part`, `key` and `record`, or as parts with records by key."""
-    if type(told) is list:
-        for one in told:
-            if type(one) is not dict or type(one.get("part")) is not str:
-                raise Unreadable("a change that is none")
-            yield record(one["part"], one.get("key"), one.get("record"))
-    elif type(told) is dict:
-        for part, some in told.items():
-            if type(some) is not dict:
-                raise Unreadable("a change that is none")
-            for key, value in some.items():
-                yield record(part, key, value)
-    else:
+    """Changes as a list of objects with `part`, `key` and `record`, of the parts that are heeded."""
+    if type(told) is not list:
         raise Unreadable("an event without changes")
+    for one in told:
+        if type(one) is not dict or type(one.get("part")) is not str:
+            raise Unreadable("a change that is none")
+        if one["part"] in PARTS:
+            yield record(one["part"], one.get("key"), one.get("record"))
 
 
 def state(told, part):
