--- a/lemonlead/ledger/state.py
+++ b/lemonlead/ledger/state.py
@@ -226,7 +226,8 @@
     # ---- snapshots: a state as pieces of bytes, each a JSON line, and back
 
     def pieces(self, state):
-        """The state as lines, a head first, some hundred records in each of the others; made one by one."""
+        """The state as lines, a head first, some hundred records in each of the others; made one by one, in
+        the order in which the maps have them: sorting all would hold up every other thread."""
         head = {
             "index": state.index,
             "term": state.term,
@@ -237,9 +238,9 @@
         }
         yield ENCODE({"head": head}) + b"\n"
         for name in sorted(state.parts):
-            for some in chunks(sorted(state.parts[name].items())):
+            for some in chunks(state.parts[name].items()):
                 yield ENCODE({"part": name, "items": dict(some)}) + b"\n"
-        for some in chunks(sorted(state.answers.items())):
+        for some in chunks(state.answers.items()):
             yield ENCODE({"answers": dict(some)}) + b"\n"
 
     def whole(self, data):
@@ -247,7 +248,7 @@
         lines = data.splitlines()
         try:
             head = msgspec.json.decode(lines[0])["head"]
-            count, parts, answers = head.pop("count"), {}, {}
+            count, parts, answers, order = head.pop("count"), {}, EMPTY.mutate(), EMPTY.mutate()
             for line in lines[1:]:
                 piece = msgspec.json.decode(line)
                 if "part" in piece:
@@ -255,14 +256,18 @@
                     some = {
                         key: msgspec.convert(row, self.kinds[name]) for key, row in piece["items"].items()
                     }
-                    parts.setdefault(name, {}).update(some)
+                    parts.setdefault(name, EMPTY.mutate()).update(some)
                 else:
-                    answers.update(msgspec.convert(piece["answers"], dict[str, Answered]))
+                    some = msgspec.convert(piece["answers"], dict[str, Answered])
+                    answers.update(some)
+                    order.update({answered.index: id for id, answered in some.items()})
             if sum(map(len, parts.values())) + len(answers) != count:
                 raise ValueError("records are missing")
-            order = Map({answered.index: id for id, answered in answers.items()})
             return State(
-                parts=Map({n: Map(p) for n, p in parts.items()}), answers=Map(answers), order=order, **head
+                parts=Map({name: part.finish() for name, part in parts.items()}),
+                answers=answers.finish(),
+                order=order.finish(),
+                **head,
             )
         except (IndexError, KeyError, TypeError, AttributeError, msgspec.MsgspecError) as error:
             raise ValueError(f"no snapshot: {type(error).__name__}: {error}") from None
--- a/lemonlead/member/host.py
+++ b/lemonlead/member/host.py
@@ -6,6 +6,7 @@
 then given what had queued up."""
 
 import asyncio
+import gc
 import time
 from collections import deque
 
@@ -30,7 +31,9 @@
         self.soon = self.timer = None
         self.wake, self.ended, self.office = 0, False, None
         self.changed = asyncio.Event()  # set as the office changes
-        self.counts = {"messages": 0, "messages_dropped": 0, "turns": 0, "longest_late_ms": 0}
+        self.counts = {"messages": 0, "messages_dropped": 0, "turns": 0}
+        self.counts.update({"longest_late_ms": 0, "longest_turn_ms": 0})
+        settle_memory()
         self.ask_turn()
 
     # ---- what arrives; all of it waits for a turn
@@ -146,7 +149,8 @@
             function(self.tell_time(), *arguments)
         more = self.pull(self.tell_time()) or more
         self.note_office()
-        now = time.monotonic_ns()
+        began, now = now, time.monotonic_ns()
+        self.counts["longest_turn_ms"] = max(self.counts["longest_turn_ms"], (now - began) // 1_000_000)
         self.wake = self.desk.wake_at()
         if more or self.inputs or self.messages:
             self.ask_turn()
@@ -191,6 +195,7 @@
         self.shelf.take_part(message, self)
 
     def snapshot(self, state, base):
+        settle_memory()
         self.shelf.snapshot(state, base, self)
 
     def answer(self, ticket, code, body):
@@ -206,6 +211,13 @@
         self.caller.call(call, self.called)
 
 
+def settle_memory():
+    """What has lived until now is looked at no more by the collector of cycles: going through a large state
+    takes it half a second, in which the loop stands still. Freed it is as before, by its counts."""
+    gc.collect()
+    gc.freeze()
+
+
 def settle(ticket, value):
     """Whoever asked may have gone away meanwhile."""
     if not ticket.done():
--- a/lemonlead/member/told.py
+++ b/lemonlead/member/told.py
@@ -90,28 +90,31 @@
 
     def addresses(self):
         told, seen = self.told, {}
-        all_of_them = [("listen", told["listen"])]
+        all_of_them = [(name, told[name]) for name in ("listen", "reached") if name in told]
         all_of_them += [(f"members.{name}", address) for name, address in told["members"].items()]
         for name, addresses in told["clusters"].items():
             all_of_them += [(f"clusters.{name}[{at}]", address) for at, address in enumerate(addresses)]
         for path, address in all_of_them:
             if wrong := address_fault(address):
                 self.fault(path, wrong, ALLOWED)
-            elif path != "listen" and address in seen:
+            elif path in ("listen", "reached"):
+                continue
+            elif address in seen:
                 self.fault(path, address, "an address once", seen[address])
-            elif path != "listen":
+            else:
                 seen[address] = path
                 if not address_fault(told["listen"]) and inside(address) != inside(told["listen"]):
                     self.fault(path, address, "all of loopback or none: they reach each other", "listen")
 
     def own_place(self):
-        """Where this member is listed, and the member that listens here, are the same."""
+        """Where this member is listed, and the member that is reached here, are the same."""
         told, mine = self.told, f"members.{self.told['member']}"
+        field = "reached" if "reached" in told else "listen"
         listed = told["members"].get(told["member"])
-        if listed is not None and listed != told["listen"]:
-            self.fault("listen", told["listen"], f"{listed}, as {mine} says", mine)
+        if listed is not None and listed != told[field]:
+            self.fault(field, told[field], f"{listed}, as {mine} says", mine)
         for name, address in told["members"].items():
-            if listed is None and address == told["listen"]:
+            if listed is None and address == told[field]:
                 self.fault(
                     "member", told["member"], f"{name}, which is listed at {address}", f"members.{name}"
                 )
--- a/lemonlead/settings/schemas/member.cue
+++ b/lemonlead/settings/schemas/member.cue
@@ -4,6 +4,7 @@
 member:  #Name                                 // a new one for a machine that lost its disk
 data:    string & =~"^[^\\x00]{1,1000}$"       // its folder, found beside this file; one process at a time
 listen:  string
+reached?: string                               // where the others reach it, if that is not where it listens
 members: {[=~"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$"]: string}       // those that form the cluster
 clusters: {[=~"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$"]: [...string]} // others, for moves
 times: {
--- a/lemonlead/standins/members.py
+++ b/lemonlead/standins/members.py
@@ -77,10 +77,11 @@
         members = pairs((one, self.addresses[one]) for one in self.forming)
         clusters = pairs(self.clusters.items())
         times = "".join(f"times: {what}: {time}\n" for what, time in self.times.items())
+        reached = f'reached: "{self.addresses[name]}"\n' if self.wires is not None else ""
         path = self.folder / f"{name}.cue"
         path.write_text(
             f'cluster: "{self.cluster}"\nmember: "{name}"\ndata: {json.dumps(str(self.data(name)))}\n'
-            f'listen: "{self.listens[name]}"\nmembers: {{{members}}}\nclusters: {{{clusters}}}\n'
+            f'listen: "{self.listens[name]}"\n{reached}members: {{{members}}}\nclusters: {{{clusters}}}\n'
             f"{times}{self.more}\n"
         )
         return path
