--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -32,6 +32,7 @@
 REST_OF_IT = 0.01  # seconds between looks for it on a connection whose reading side we have ended
 PENALTY, MOST_PENALTY = 0.1, 1.0  # seconds before more is read after a command that makes no sense; they grow
 LARGE = 8192  # bytes past which a command counts against the room for all
+LEFT, RESET = "client closed", "reset"  # why a connection ends that the client ended, in order or not
 WORDS = {b"Q.ASK": (4,), b"Q.DO": (4, 5)}  # how many words a lookup has
 LONGEST_ID, LONGEST_KEY = 128, 1024
 NUMBER = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
@@ -64,6 +65,7 @@
         self.since = time.monotonic()  # when it last got an answer
         self.part_since = None  # when what there is of a command was first seen
         self.asked, self.faults, self.weight = False, 0, 0  # a whole command came; senseless ones; its buffer
+        self.answered = False  # it got an answer, and is no new connection any more
 
     def run(self):
         reason = "fault"
@@ -73,7 +75,7 @@
             reason = "malformed"
             self.turn_away(error)
         except OSError:
-            reason = "reset"
+            reason = RESET
         except Exception:
             self.gate.desk.fault(traceback.format_exc())
         finally:
@@ -88,7 +90,7 @@
                     return reason
             else:
                 if not count and (self.reason is None or self.broken or self.done()):
-                    return self.reason or "client closed"
+                    return self.reason or LEFT
                 if not count:  # we end it, and it had asked before it could know
                     with self.room:
                         self.room.wait_for(lambda: not (self.asks or self.unsent) or self.broken)
@@ -208,6 +210,7 @@
             while self.asks and self.asks[0].answer is not None:
                 ask = self.asks.popleft()
                 self.unsent += ask.answer
+                self.answered = True
                 if ask.weight:
                     self.gate.weigh(-ask.weight)
             self.since = time.monotonic()
@@ -241,7 +244,7 @@
             except BlockingIOError:
                 self.end("slow reader")
             except OSError:
-                self.end("reset")
+                self.end(RESET)
             else:
                 with self.room:
                     del self.unsent[:sent]
@@ -254,7 +257,17 @@
             self.room.notify_all()
             self.sock.shutdown(socket.SHUT_RDWR)
 
+    def in_vain(self):
+        """Whether some of a lookup has come and nothing was answered, though it is a new connection."""
+        if self.answered or self.asked or not self.reader.empty():
+            return not self.answered
+        with contextlib.suppress(OSError):
+            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        return False
+
     def close(self, reason):
+        if reason not in (LEFT, RESET) and self.in_vain():
+            self.gate.counters.add("new connections ended in vain")
         self.end(reason)
         with self.room:
             while self.writing:
--- a/lemonlead/gateway/desk.py
+++ b/lemonlead/gateway/desk.py
@@ -9,6 +9,8 @@
 from . import resp
 from .place import now
 
+UNWRITTEN = (at.UNCONNECTED, at.NOT_SENT)  # the endings of sends of which no instance has had all
+
 
 class Desk:
     """The balancer's door. Nothing blocks under the lock: what might is put into `chores`, which whoever held
@@ -139,6 +141,8 @@
         self.answer(lookup, "pushed back", b"-BUSY%s\r\n" % pause)
 
     def abort(self, lookup):
+        if all(send.end in UNWRITTEN for send in lookup.sends):
+            self.counters.add("aborted unsent")
         self.answer(lookup, "aborted", resp.error("ERR aborted"))
 
     def watch_list(self):
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -9,11 +9,12 @@
 import signal
 import socket
 import threading
+from collections import Counter
 from types import SimpleNamespace
 
 import pytest
 from days import Day, S
-from helpers import MS, NOW, Desk, balancer, line, lookup
+from helpers import MS, NOW, Desk, balancer, lane, line, lookup, sent
 from lemonlead import interface as at
 from lemonlead.balance import Balancer
 from lemonlead.gateway import discovery as drivers
@@ -21,6 +22,7 @@
 from lemonlead.gateway.clients import Client
 from lemonlead.gateway.counters import Counters
 from lemonlead.gateway.crew import Crew
+from lemonlead.gateway.desk import Desk as DeskOfGateway
 from lemonlead.gateway.discovery import Discovery
 from lemonlead.gateway.http import Objects
 from lemonlead.gateway.place import address
@@ -206,6 +208,7 @@
         ours, _ = listener.accept()
         gate = SimpleNamespace(stopping=True, crew=Crew(), lookup=lambda *_: lookup(), gone=lambda _: None)
         gate.weigh, gate.desk = lambda _: True, SimpleNamespace(lookup_arrived=None, TWICE=b"-")
+        gate.counters = Counters()
         client = Client(ours, gate, False)
 
         def answer(happened, ask, lookup):
@@ -348,8 +351,8 @@
 def test_the_lane_of_least_revenue_gets_its_half_and_so_does_each_third_of_a_long_day(starved, fleet_of):
     rules = dict(length=15, burst=1.3)
     ours, seer = (Day(fleet_of(crowd(starved)), 2, late=late, **rules).played_out() for late in (False, True))
-    for lane in range(4):
-        assert ours.share("lane", lane) >= 0.5 * seer.share("lane", lane) > 0.15
+    for number in range(4):
+        assert ours.share("lane", number) >= 0.5 * seer.share("lane", number) > 0.15
     for third in range(3):
         assert ours.share("lane", third=third) >= 0.5 * seer.share("lane", third=third) > 0.15
 
@@ -366,6 +369,71 @@
     lanes = [at.Lane(n, at.HARMLESS, S, 4 * S, revenue) for n, revenue in enumerate((0.01, 1.0, 1.99))]
     made = balancer([line(1)], lanes=lanes, balancers=200)
     made.pace, let_in = pace, []
-    for lane in lanes:
-        let_in.append(sum(not made.sheds(lookup(on=lane), NOW) for _ in range(5000)))
+    for on in lanes:
+        let_in.append(sum(not made.sheds(lookup(on=on), NOW) for _ in range(5000)))
     assert let_in[0] >= 0.48 * let_in[1] and let_in[0] < let_in[1] < let_in[2]
+
+
+# ---- what was never sent on, and new connections that end in vain
+
+
+@pytest.mark.parametrize("effect", [at.HARMLESS, at.STAMPED, at.ONE_SHOT])
+@pytest.mark.parametrize("ends", [(), (at.NOT_SENT,), (at.UNCONNECTED, at.NOT_SENT), (at.REJECTED,)])
+def test_what_no_instance_was_sent_is_refused_never_failed(effect, ends):
+    on, desk = lane(effect=effect, group="zone"), Desk()
+    made = balancer([line(1)], lanes=[on])
+    asked = lookup(on=on)
+    for end in ends:
+        sent(asked, made.members[1], end)
+    made.give_up(asked, desk)
+    assert desk.calls[0][0] == "push back"
+
+
+@pytest.mark.parametrize("ends, counted", [((), 1), ((at.UNCONNECTED,), 1), ((at.UNCONNECTED, at.RESET), 0)])
+def test_the_gateway_counts_what_it_answers_as_failed_and_never_sent(ends, counted):
+    made = DeskOfGateway(at.Start(now=NOW, seed=1, lanes=[lane()]), Quiet(), Counters())
+    asked = lookup()
+    asked.sends = [at.Send(asked, number, None, NOW, end) for number, end in enumerate(ends)]
+    made.asks[asked] = SimpleNamespace(client=SimpleNamespace(flush=None))
+    made.abort(asked)
+    assert made.counters.read().get("aborted unsent", 0) == counted
+
+
+@pytest.mark.parametrize(
+    "data, answered, reason, counted",
+    [
+        (COMMAND, False, "made room", 1), (COMMAND[:9], False, "silent", 1), (b"", False, "silent", 0),
+        (COMMAND, True, "rest", 0), (COMMAND, False, "client closed", 0),
+    ],
+)
+def test_the_gateway_counts_new_connections_that_it_ends_in_vain(ended, data, answered, reason, counted):
+    client, theirs = ended
+    theirs.sendall(data)
+    if data:
+        client.sock.recv(1, socket.MSG_PEEK)  # it has come
+    client.answered = answered
+    client.close(reason)
+    assert client.gate.counters.read().get("new connections ended in vain", 0) == counted
+
+
+def test_of_many_new_connections_at_the_bound_under_one_in_200_ends_in_vain(tmp_path):
+    """Clients that come anew for each lookup, a third more than there are places."""
+    answers, each = Counter(), 50
+
+    def come(number):
+        for turn in range(each):
+            client = clients.Client(ran.port)
+            with contextlib.suppress(ConnectionError), client.sock:
+                answer = client.ask(b"%d.%d" % (number, turn), "buy").read()
+                answers[type(answer).__name__ if answer else "none"] += 1
+
+    with gateway(tmp_path, InstanceServer().start(), limits={"sockets": 60}) as ran:  # 18 clients
+        threads = [threading.Thread(target=come, args=(number,), daemon=True) for number in range(24)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(60)
+        said = ran.counters()
+        vain = said.get("aborted_unsent", 0) + said.get("new_connections_ended_in_vain", 0)
+        assert said["taken"] >= 0.995 * 24 * each and vain <= said["taken"] / 200
+        assert sum(answers.values()) - answers["none"] >= 0.995 * 24 * each
