--- a/lemonlead/member/disk.py
+++ b/lemonlead/member/disk.py
@@ -265,10 +265,10 @@
         self.head = self.read_head(note)
         if (self.head.folder, self.head.format) != (note.folder, FORMAT):
             raise self.damaged("its head is not this folder's")
-        if self.head.seq < note.seq:
+        if self.head.seq < self.epoch.least:
             raise Older(
                 f"{self.database} holds {self.head.seq} transactions, entry {self.head.last} the newest; "
-                f"it once held {note.seq}, entry {note.last}"
+                f"it once held {self.epoch.least}, entry {note.last}"
             )
         if self.head.seq == note.seq and self.sum(b"head", self.body()) != note.head:
             raise self.damaged("it is not what the folder held as of then")
@@ -405,14 +405,22 @@
         with self.transaction():
             if not self.head.cluster:
                 raise Contradicts("the folder is in no cluster")
+            entries = []  # of writes that only append, gathered
             for write in writes:
-                self.put_one(write)
+                head = self.head
+                if (write.term, write.voted, write.cut, write.base) != (head.term, head.voted, None, None):
+                    self.append(entries)
+                    self.prepare(write)
+                    entries = []
+                entries += write.entries
+            self.append(entries)
         counts = self.counts
         counts["writes"] += len(writes)
         counts["entries"] += sum(len(write.entries) for write in writes)
         counts["slowest_ns"] = max(counts["slowest_ns"], time.monotonic_ns() - began)
 
-    def put_one(self, write):
+    def prepare(self, write):
+        """All of a write but its entries."""
         head = self.head
         if write.term < head.term:
             raise Contradicts(f"term {write.term} after {head.term}")
@@ -425,8 +433,6 @@
             if self.gathering is None or not self.gathering.whole or self.gathering.base != write.base:
                 raise Contradicts(f"no snapshot as of entry {write.base.index} was received whole")
             self.put_in_force(self.gathering)
-        if write.entries:
-            self.append(write.entries)
 
     def cut(self, index):
         head = self.head
@@ -441,6 +447,8 @@
         self.head = replace(head, last=last, last_term=term, last_sum=chain)
 
     def append(self, entries):
+        if not entries:
+            return
         head = self.head
         index, term, chain, rows, size = head.last, head.last_term, head.last_sum, [], 0
         for entry in entries:
@@ -662,8 +670,9 @@
     def note(self):
         """A function of both files' identities: what the note tells now."""
         head, total = self.head, self.sum(b"head", self.body())
+        before = self.epoch.note.seq if self.epoch.note else head.seq
         return lambda files: Note(
-            FORMAT, head.folder, files, head.starts, head.seq, total, head.term, head.last
+            FORMAT, head.folder, files, head.starts, head.seq, before, total, head.term, head.last
         )
 
     def damaged(self, says):
--- a/lemonlead/member/epoch.py
+++ b/lemonlead/member/epoch.py
@@ -5,6 +5,8 @@
 here after it is on disk. A database that is behind its note has lost something, and is refused.
 
 Two slots of 512 bytes (a sector: a power cut leaves it old or new), written in turn, each with a checksum.
+Where one of them is not whole, or not the one before the other, it may have told of one commit more: the
+database then has to hold that one as well, which it does where a power cut spoilt the slot.
 A note is written without a sync of its own: a killed process loses none of it, a power cut may leave an
 older note, never one that is ahead of the database. It is synced at each start, checkpoint and close.
 
@@ -32,6 +34,7 @@
     files: tuple[int, ...]  # inode and generation of the database, then of this file
     starts: int  # how often the folder was opened
     seq: int  # the newest commit
+    before: int  # that of the note in the other slot
     head: bytes  # checksum of the database's head as of then
     term: int
     last: int  # index of the newest entry
@@ -79,6 +82,7 @@
 
     def __init__(self, path):
         self.path, self.file, self.turn, self.note = path, None, 0, None
+        self.least = 0  # transactions that the database has held at least
 
     def make(self, note):
         """A new file with both slots, synced; the folder is the caller's to sync. `note`: function of this
@@ -103,6 +107,9 @@
             raise Damaged(f"{self.path}: neither of its notes is whole")
         self.note = max(filter(None, notes), key=lambda note: note.seq)
         self.turn = 1 - notes.index(self.note)
+        other = notes[self.turn]
+        fits = other is not None and other.seq == self.note.before
+        self.least = self.note.seq + (not fits)
         if self.note.files != identity(database) + identity(self.path):
             raise Copied(f"{self.path.parent} holds copies of the files that the folder was made with")
         return self.note
--- a/tests/test_member_disk.py
+++ b/tests/test_member_disk.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import traceback
+from contextlib import closing
 from pathlib import Path
 
 import pytest
@@ -745,7 +746,7 @@
 
 @pytest.fixture(scope="module", params=["closed", "killed"])
 def stored(request, memory):
-    """(folder, bytes of its files, what it holds)."""
+    """A folder, the bytes of its files, what it holds."""
     path = memory / request.param
 
     def work():
@@ -760,7 +761,12 @@
     assert len(names) == (2 if request.param == "closed" else 3)
     files = {name: (path / name).read_bytes() for name in names}
     wanted = Kept(3, "g2", Base(20, 1, SEATS, 9), entries(21, 49) + entries(50, 70, 3))
-    return path, files, (wanted, state("own", 9000))
+    return Stored(path, files, (wanted, state("own", 9000)))
+
+
+class Stored:
+    def __init__(self, path, files, wanted):
+        self.path, self.files, self.wanted = path, files, wanted
 
 
 def put_back(path, files):
@@ -812,7 +818,7 @@
 @settings(max_examples=FUZZ, deadline=None, suppress_health_check=list(HealthCheck))
 @given(changes=CHANGES)
 def test_changed_bytes_give_the_very_same_or_a_fault(stored, changes):
-    path, files, wanted = stored
+    path, files, wanted = stored.path, stored.files, stored.wanted
     spoilt = dict(files)
     for which, change in changes:
         name = sorted(files)[which % len(files)]
@@ -823,9 +829,75 @@
         folder = open_folder(path)
     except Unusable:
         return
-    assert folder.kept() == wanted
-    folder.put([write(3, "g2", entries=entries(71, 71, 3))])
-    folder.close()
-    folder = open_folder(path)
-    assert folder.kept()[0].entries == wanted[0].entries + entries(71, 71, 3)
-    folder.close()
+    try:
+        assert folder.kept() == wanted
+        folder.put([write(3, "g2", entries=entries(71, 71, 3))])
+    finally:
+        folder.close()
+    with closing(open_folder(path)) as folder:
+        assert folder.kept()[0].entries == wanted[0].entries + entries(71, 71, 3)
+
+
+NOTES = {  # (slots that are spoilt, the log of the killed run cut): what comes of it
+    "neither": ((), False, None),
+    "the newer, all there": ((0,), False, None),
+    "the older, all there": ((1,), False, faults.Older),
+    "the newer, with the newest commit lost": ((0,), True, faults.Older),
+    "both": ((0, 1), False, faults.Damaged),
+}
+
+
+@pytest.mark.parametrize("case", NOTES)
+def test_a_spoilt_note_hides_no_loss(tmp_path, case):
+    """Each slot may be the one that told of the newest commit; a commit past both notes settles it."""
+    slots, lost, wanted = NOTES[case]
+
+    def work():
+        folder = formed(tmp_path, 10)
+        folder.put([write(entries=entries(12, 13))])
+
+    assert in_child(work) == 0
+    if lost:
+        os.truncate(tmp_path / "ledger.db-wal", (tmp_path / "ledger.db-wal").stat().st_size - 100)
+    spoil_slots(tmp_path, slots)
+    if wanted is None:
+        assert len(open_folder(tmp_path).kept()[0].entries) == 12
+    else:
+        with pytest.raises(wanted):
+            open_folder(tmp_path)
+
+
+def test_a_kill_between_a_commit_and_its_note_leaves_a_folder_that_can_be_used_again(tmp_path, monkeypatch):
+    def work():
+        folder = formed(tmp_path, 10)
+        monkeypatch.setattr(os, "pwrite", lambda *args: os._exit(5))
+        folder.put([write(entries=entries(12, 13))])
+
+    assert in_child(work) == 5
+    for _ in range(3):
+        assert in_child(lambda: len(open_folder(tmp_path).kept()[0].entries)) == 12
+
+
+def spoil_slots(path, slots):
+    data = bytearray((path / "epoch").read_bytes())
+    notes = [epoch.unpacked(data[:512]), epoch.unpacked(data[512:])]
+    newer = 0 if notes[0].seq > notes[1].seq else 1
+    for slot in slots:
+        data[(newer if slot == 0 else 1 - newer) * 512 + 30] ^= 1
+    overwrite(path / "epoch", bytes(data))
+
+
+def test_a_note_spoilt_by_a_power_cut_is_made_up_for_by_the_commit_it_was_to_tell(tmp_path, monkeypatch):
+    def work():
+        folder = formed(tmp_path, 10)
+
+        def torn(file, data, at):
+            pwrite(file, data[:200] + bytes(312), at)
+            os._exit(5)
+
+        pwrite = os.pwrite
+        monkeypatch.setattr(os, "pwrite", torn)
+        folder.put([write(entries=entries(12, 13))])
+
+    assert in_child(work) == 5
+    assert len(open_folder(tmp_path).kept()[0].entries) == 12
