--- a/lemonlead/ledger/peers.py
+++ b/lemonlead/ledger/peers.py
@@ -5,7 +5,7 @@
 
 PROBE, STREAM, SNAPSHOT = "probe", "stream", "snapshot"
 SLOWEST = 16  # heartbeats: the longest wait before a peer that is silent is asked again
-SLOWEST_PART = 64  # heartbeats: the longest wait before a piece of a snapshot is sent again
+SLOWEST_PART = 12  # heartbeats: the longest wait before a piece of a snapshot is sent again
 GIVE_UP_BASE = 3  # times that a piece went unanswered, after which a newer snapshot is sent instead
 
 
@@ -70,5 +70,5 @@
 
     def put_off_part(self, now, heartbeat, chance):
         self.part_due = now + self.part_wait + chance.randrange(max(self.part_wait // 4, 1))
-        self.part_wait = min(self.part_wait * 2, heartbeat * SLOWEST_PART)
+        self.part_wait = min(self.part_wait * 3 // 2, heartbeat * SLOWEST_PART)
         self.tries += 1
