--- a/lemonlead/drains/duty.py
+++ b/lemonlead/drains/duty.py
@@ -17,7 +17,7 @@
 )
 from .feasible import named
 from .ground import NO_LOAD
-from .planner import Plan
+from .planner import Asked, Plan, lower_bound
 from .rules import (
     CLEAR,
     DOWN,
@@ -45,6 +45,8 @@
 OPEN_MS = 900_000  # then gangs that end within this may start, and the hold begins anew
 GIVE_UP = 24 * 3600 * 1_000_000_000  # without a node done, past the deadline: the drain ends unfinished
 MOST_TRIED = 200  # nodes tried one by one where a wave does not fit as a whole
+SOON_MS = 600_000  # for so long a wave may wait for gangs that end, where it would save none
+LINGER_MS = 5000  # and for so long past the end that a gang told
 MOST_WAVES = 3  # waves looked at for one that may go now
 TELL = 1_000_000_000  # between what drains' records tell: a plan for telling alone is not made at each event
 WATCHED = ("nodes", "permits", "wants", "drains", "groups", "terms")  # looked at as soon as they change
@@ -58,6 +60,9 @@
     def took_office(self, now):
         self.seen, self.look, self.ask, self.wake = None, 0, 0, NEVER
         self.index, self.at = -1, now  # the last entry seen, and when
+        self.held_until = 0  # the ledger's time up to which a wave is kept back, unless something changes
+        self.held_until = 0  # the ledger's time up to which a wave is kept back, unless something changes
+        self.permits, self.given = None, {}  # as last seen; index to names of those not yet clear
         self.view, self.rest, self.tell = View(), (), 0
         self.plan = Plan(self.view.asked)
 
@@ -75,6 +80,11 @@
             return None
         if state.index != self.index:
             self.index, self.at = state.index, now
+        if permits is not self.permits:
+            self.permits, self.given = permits, {}
+            for name, held in permits.items():
+                if held.phase == GIVEN:
+                    self.given.setdefault(held.index, []).append(name)
         moment = state.moment + now - self.at  # the ledger's time, or a little less
         found = self.clear(now, state, followers)
         watched = tuple(state.part(name) for name in WATCHED)
@@ -83,19 +93,14 @@
             found = self.looked(now, wall_ms, moment, state, running)
             if found is None:
                 self.seen, self.look = watched, now + LOOK
-        given = any(held.phase == GIVEN for held in permits.values())
-        self.wake = now + ASK if given else max(self.look, now + 1)
+        self.wake = now + ASK if self.given else max(self.look, now + 1)
         return found
 
     def clear(self, now, state, followers):
         """A permit that every gateway has acknowledged, or whose gateways ran out."""
         if now < self.ask:
             return None
-        given = {}
-        for name, held in state.part("permits").items():
-            if held.phase == GIVEN:
-                given.setdefault(held.index, []).append(name)
-        for index, names in sorted(given.items()):
+        for index, names in sorted(self.given.items()):
             if not followers.waited_for(now, state, index):
                 return PermitClear(nodes=tuple(sorted(names)[:MOST_PERMITS]), index=index)
         self.ask = now + ASK
@@ -108,7 +113,7 @@
         down = own_down(state)
         if down:
             return PermitCommand(nodes=tuple(sorted(down)[:MOST_PERMITS]))
-        wave = self.wave(moment, state, running)
+        wave = self.wave(wall_ms, moment, state, running)
         if wave:
             return PermitCommand(nodes=wave)
         return self.about(now, wall_ms, moment, state, running)
@@ -118,7 +123,7 @@
     def is_late(self, held, moment):
         return held.phase != GIVEN and moment - held.moment >= self.late
 
-    def wave(self, moment, state, running):
+    def wave(self, wall_ms, moment, state, running):
         """The next nodes to go, once those of the last wave are back, late or failed."""
         nodes, permits = state.part("nodes"), state.part("permits")
         busy = any(
@@ -131,9 +136,13 @@
                 return rest
         if busy:
             return ()
-        self.replan(moment, state, running)
+        if not self.replan(moment, state, running) and moment < self.held_until:
+            return ()
         if self.plan.far():
             self.plan.make(self.view.asked)
+        if self.plan.waves and self.better_later(wall_ms, moment, state):
+            self.held_until = moment + TELL
+            return ()
         found = ground.sums(state, moment) if self.plan.waves else {}
         for wave in self.plan.waves[:MOST_WAVES]:
             names = tuple(sorted(wave))
@@ -148,13 +157,43 @@
                 return names
         return ()
 
+    def better_later(self, wall_ms, moment, state):
+        """Whether the next wave would save none, as nodes whose gangs end soon need as many waves after it
+        as all do together. Then waiting for them costs no time and spares a wave; not for long, and not past
+        what their cordon leaves."""
+        progress, wants = state.part("progress"), state.part("wants")
+        soon = {}
+        for name, drains in wants.items():
+            ends = [
+                state.part("gangs")[gang].ends_ms for gang in state.part("loads").get(name, NO_LOAD).gangs
+            ]
+            last = min(wall_ms + SOON_MS, *(progress[one].cordon_ms for one in drains))
+            waited = max(moment - progress[one].moved for one in drains)
+            if (
+                ends
+                and wall_ms < min(ends) + LINGER_MS
+                and max(ends) <= last
+                and waited < SOON_MS * 1_000_000
+            ):
+                takes = self.view.takes(state, name, gangs=True)
+                if takes is not None and all(much <= self.view.asked.caps[limit] for limit, much in takes):
+                    soon[name] = takes
+        if not soon:
+            return False
+        asked, first = self.view.asked, self.plan.waves[0]
+        whole = Asked({**{name: asked.takes[name] for name in self.plan.where}, **soon}, asked.caps)
+        rest = [name for name in whole.takes if name not in first]
+        return lower_bound(whole, rest) == lower_bound(whole, whole.takes)
+
     def replan(self, moment, state, running):
+        """Whether anything that waves depend on has changed."""
         late = frozenset(name for name, held in state.part("permits").items() if self.is_late(held, moment))
         names, limits = self.view.update(state, running, late)
         if len(names) * 4 > len(self.view.asked.takes):
             self.plan.make(self.view.asked)
         elif names or limits:
             self.plan.change(names, limits)
+        return bool(names or limits)
 
     # ---- what is told, and drains that are late
 
@@ -220,6 +259,8 @@
     for group_name in sorted({g for name in open_ for g in loads.get(name, NO_LOAD).groups}):
         group = state.part("groups")[group_name]
         short = group.quorum - ground.caught_up(state, group)
+        if short <= 0:
+            continue
         members = [name for name in group.nodes if nodes[name].state == SERVING and name in permits]
         short -= sum(name in taken or permits[name].phase == RECALLED for name in members)
         for name in order:
@@ -228,8 +269,10 @@
                 short -= 1
     found = ground.sums(state, moment, {nodes[name].site for name in open_})
     for site, sums in sorted(found.items()):
-        here = [name for name in order if nodes[name].site == site]
         short = sums.need - sums.bears
+        if short <= 0:
+            continue
+        here = [name for name in order if nodes[name].site == site]
         for name, held in permits.items():
             if nodes[name].site == site and (held.phase == RECALLED or name in taken):
                 short -= back_bears(state, nodes[name], moment)
--- a/lemonlead/drains/view.py
+++ b/lemonlead/drains/view.py
@@ -132,12 +132,16 @@
             self.asked.takes[name] = takes
             moved.add(name)
 
-    def takes(self, state, name):
+    def takes(self, state, name, gangs=False):
+        """What this node takes of its limits, None where it is not to be planned now. `gangs`: as if none
+        held it."""
         if name not in state.part("wants"):
             return None
         held, node = state.part("permits").get(name), state.part("nodes")[name]
         load = state.part("loads").get(name, NO_LOAD)
-        if (held is not None and held.phase != RECALLED) or load.gangs or not (up(node) or node.out):
+        if (held is not None and held.phase != RECALLED) or not (up(node) or node.out):
+            return None
+        if load.gangs and not gangs:
             return None
         gone = name in self.late  # counted as away already
         counts = int(node.state == SERVING and not gone)
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -157,6 +157,19 @@
     until(made, done)
 
 
+@pytest.mark.parametrize("lasts, waves", [(30, 1), (3000, 2)])
+def test_a_wave_waits_for_a_gang_that_ends_soon_where_it_would_save_none(lasts, waves):
+    made = world(12)
+    ends = made.wall + lasts * 1000
+    made.ask("gang", gang="j", nodes=["n2"], units=5, ends_ms=ends)
+    begin(made, names(3), hours=2)
+    while not done(made) and made.wall < ends + 100_000:
+        made.step(S // 2)
+        if made.wall >= ends and "j" in made.state.part("gangs"):
+            made.ask("gang_end", gang="j")
+    assert done(made) and made.waves == waves and made.broken == []
+
+
 def test_a_gang_without_an_end_is_told_by_name():
     made = world(8)
     made.ask("gang", gang="j", nodes=["n1", "n2"], units=5)
