--- a/lemonlead/ledger/desk.py
+++ b/lemonlead/ledger/desk.py
@@ -19,6 +19,7 @@
 from .state import Command, State
 
 SNAPSHOT_EVERY = 4096  # entries applied since the last snapshot
+LONGEST_APART = 4  # times as many, while a peer is being sent the last one
 MOST_EVENTS = 20_000  # changes kept for whoever asks for what came after an index
 MOST_POLLS = 2000  # calls that wait for the next change; past it one is answered at once, with nothing
 POLL = 2_000_000_000  # the longest that one waits
@@ -193,7 +194,10 @@
         return found[::-1]
 
     def take_snapshot(self, door):
-        if self.snapshotting is not None or self.state.index - self.since < self.snapshot_every:
+        applied = self.state.index - self.since
+        if self.snapshotting is not None or applied < self.snapshot_every:
+            return False
+        if self.replica.sends_snapshot() and applied < LONGEST_APART * self.snapshot_every:
             return False
         members = self.replica.seats_at(self.state.index)
         self.snapshotting = Base(self.state.index, self.state.term, members, self.state.moment)
--- a/lemonlead/ledger/office.py
+++ b/lemonlead/ledger/office.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .peers import GIVE_UP_BASE, PROBE, SNAPSHOT, STREAM, Peer
+from .peers import PROBE, SNAPSHOT, STREAM, Peer
 from .records import (
     COMMAND,
     MEMBERS,
@@ -328,7 +328,7 @@
 
     def send_part(self, now, peer, door):
         base = self.replica.base
-        if peer.tries >= GIVE_UP_BASE and peer.base.index != base.index:
+        if peer.base.index != base.index:  # a host keeps one snapshot alone
             peer.start_snapshot(now, base, self.told.heartbeat)
         peer.put_off_part(now, self.told.heartbeat, self.replica.chance)
         peer.round = self.round
@@ -340,13 +340,22 @@
         told = self.told
         return kind(told.cluster, told.name, told.folder, peer.name, peer.seat.folder, self.term, **fields)
 
-    def needed(self):
-        """The first index that a peer which is being sent a snapshot will want after it."""
+    def needed(self, now):
+        """The last index that every peer has that answers, or will have once its snapshot is whole."""
         return min(
-            (peer.base.index for peer in self.peers.values() if peer.mode == SNAPSHOT),
+            (
+                peer.base.index if peer.mode == SNAPSHOT else peer.match
+                for peer in self.peers.values()
+                if not peer.silent(now, self.told.election)
+            ),
             default=self.log.last,
         )
 
+    def sends_snapshot(self, now):
+        return any(
+            peer.mode == SNAPSHOT and not peer.silent(now, self.told.election) for peer in self.peers.values()
+        )
+
     def wake_at(self):
         moments = [self.beat, self.check]
         if self.handing:
--- a/lemonlead/ledger/peers.py
+++ b/lemonlead/ledger/peers.py
@@ -6,7 +6,6 @@
 PROBE, STREAM, SNAPSHOT = "probe", "stream", "snapshot"
 SLOWEST = 16  # heartbeats: the longest wait before a peer that is silent is asked again
 SLOWEST_PART = 12  # heartbeats: the longest wait before a piece of a snapshot is sent again
-GIVE_UP_BASE = 3  # times that a piece went unanswered, after which a newer snapshot is sent instead
 
 
 class Peer:
@@ -18,7 +17,7 @@
         self.flight = deque()  # the last index of each message with entries not yet answered
         self.round = self.answered = -1  # of heartbeats: sent, answered
         self.told = 0  # index up to which it was told that entries are committed
-        self.base, self.offset, self.part_due, self.part_wait, self.tries = None, 0, now, heartbeat, 0
+        self.base, self.offset, self.part_due, self.part_wait = None, 0, now, heartbeat
         self.goal, self.since, self.caught = last, now, False  # a learner's catching up, by rounds (4.2.1)
 
     def silent(self, now, election):
@@ -54,14 +53,14 @@
             self.probe(max(min(self.next - 1, hint + 1), 1))
 
     def start_snapshot(self, now, base, heartbeat):
-        self.mode, self.base, self.offset, self.tries = SNAPSHOT, base, 0, 0
+        self.mode, self.base, self.offset = SNAPSHOT, base, 0
         self.part_due, self.part_wait, self.waiting = now, heartbeat * 2, False
         self.flight.clear()
 
     def wanted(self, now, offset, most, heartbeat):
         """It asks for the snapshot from this byte on. Against garbled ones: none past what it can have."""
         if 0 <= offset <= self.offset + most and offset != self.offset:
-            self.offset, self.part_due, self.part_wait, self.tries = offset, now, heartbeat * 2, 0
+            self.offset, self.part_due, self.part_wait = offset, now, heartbeat * 2
 
     def put_off(self, now, heartbeat, chance):
         """It is silent: the next message waits longer."""
@@ -71,4 +70,3 @@
     def put_off_part(self, now, heartbeat, chance):
         self.part_due = now + self.part_wait + chance.randrange(max(self.part_wait // 4, 1))
         self.part_wait = min(self.part_wait * 3 // 2, heartbeat * SLOWEST_PART)
-        self.tries += 1
--- a/lemonlead/ledger/replica.py
+++ b/lemonlead/ledger/replica.py
@@ -31,7 +31,7 @@
 
 MOST_OUT = 1024  # messages that wait for the host to take them or for the disk; past it one is lost
 MOST_COMMIT = 256  # entries in one call of `commit`
-STRETCH = 4  # times `keep` that are kept at most for a peer that is being sent a snapshot
+STRETCH = 8  # times `keep` that are kept at most for a peer that answers and has not got them yet
 
 
 class Replica:
@@ -179,6 +179,11 @@
         self.held.clear()
         self.following.parts.clear()
 
+    def sends_snapshot(self):
+        """Whether a peer that answers is being sent the snapshot: a newer one had better wait, since it
+        would begin anew."""
+        return self.office is not None and self.office.sends_snapshot(self.now)
+
     def compacted(self, now, base):
         """The host holds a snapshot of the state as of `base` on disk: entries up to it need not be kept."""
         self.tick(now)
@@ -423,10 +428,10 @@
         self.trim()
 
     def trim(self):
-        """Drops what is too far behind the snapshot, but not what a peer will want right after the one that
-        it is being sent."""
+        """Drops what is too far behind the snapshot, but not what a peer that answers will want next: else
+        one that lags under load is sent snapshot after snapshot."""
         keep = self.told.keep
         upto = self.base.index - keep
         if self.office is not None:
-            upto = max(min(upto, self.office.needed()), self.base.index - STRETCH * keep)
+            upto = max(min(upto, self.office.needed(self.now)), self.base.index - STRETCH * keep)
         self.log.drop(upto, self.base)
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -216,7 +216,7 @@
         base = r.Base(applied.index, applied.term, self.replica.seats_at(applied.index), applied.moment)
         self.disk.base = base
         self.disk.entries = [one for one in self.disk.entries if one.index > base.index]
-        self.snapshots = {base.index: self.state}
+        self.snapshots = {base.index: self.state}  # one alone, as a host keeps it
         self.replica.compacted(self.net.now, base)
 
     def kill(self):
@@ -227,8 +227,8 @@
 class Net:
     """`cuts`: set of (sender, to) whose messages are lost."""
 
-    def __init__(self, names="abc", seed=1, learners="", **more):
-        self.now, self.chance, self.delay, self.disk = NOW, random.Random(seed), 2 * MS, 1 * MS
+    def __init__(self, names="abc", seed=1, learners="", delay=2 * MS, **more):
+        self.now, self.chance, self.delay, self.disk = NOW, random.Random(seed), delay, 1 * MS
         self.lost = self.twice = 0.0  # shares of messages
         self.wire, self.cuts, self.ends, self.history, self.log = [], set(), {}, {}, []
         more.setdefault("most_bytes", 512)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -906,18 +906,43 @@
     net.run(net.same)
 
 
-def test_a_snapshot_goes_on_where_it_was_while_newer_ones_are_made():
-    net = Net(keep=5)
+@pytest.mark.parametrize("waits", [True, False])
+def test_newer_snapshots_that_wait_let_a_transfer_end_under_load(waits):
+    """Others begin it anew; the end comes with the load's then."""
+    net = Net(keep=5, delay=10 * MS)
     late = lagging(net)
     net.cuts = set()
     for at in range(40):
         net.propose(at)
         net.pause(5)
-        net.members[net.lead().name].compact()
+        if not (waits and net.lead().sends_snapshot()):
+            net.members[net.lead().name].compact()
+    bases = {one.base.index for one in net.log if type(one) is r.Part and one.to == late}
+    assert len(bases) == 1 if waits else len(bases) > 3
     net.run(net.same)
     assert net[late].base.index >= 300
 
 
+def test_entries_that_a_peer_which_answers_lacks_are_kept_longer():
+    replica, host, now = leading(keep=5)
+    for at in range(60):
+        replica.propose(now, 0, b"{}", at)
+    host.pull(replica, now)
+    for match in (62, 20):
+        ack(replica, now, "b", match=match)
+    ack(replica, now, "c", match=30)
+    host.pull(replica, now)
+    replica.compacted(now, r.Base(60, 2, seats()))
+    assert replica.log.first == 31
+    for at in range(40):
+        replica.propose(now, 0, b"{}", 100 + at)
+    host.pull(replica, now)
+    ack(replica, now, "b")
+    host.pull(replica, now)
+    replica.compacted(now, r.Base(100, 2, seats()))
+    assert replica.log.first == 100 - 8 * 5 + 1  # but not without end
+
+
 def test_a_new_member_gets_the_snapshot_and_then_its_vote():
     net = Net(keep=5)
     lagging(net)
