--- a/lemonlead/member/outside.py
+++ b/lemonlead/member/outside.py
@@ -19,6 +19,7 @@
 
 MOST_CALLS = 2000  # being answered at once, beside those of peers; past it 503
 MOST_POLLS = 1500  # of these that wait for events
+MOST_PEER_CALLS = 64  # of other members at once
 MOST_WHOLE = 4  # large answers being made at once; others wait for their turn
 MOST_PASSED = 256 * 1024 * 1024  # bytes of an answer that is passed on
 LONGEST_FORM = 64 * 1024 * 1024
@@ -68,7 +69,7 @@
 
     def __init__(self, member):
         self.member, self.asking, self.log = member, member.asking, member.log
-        self.open = self.polls = 0
+        self.open = self.polls = self.peers = 0
         self.whole = asyncio.Semaphore(MOST_WHOLE)
         self.counts = {"calls": 0, "calls_turned_away": 0, "senseless": 0, "late": 0, "garbled": 0}
         self.counts.update({"passed_on": 0, "most_calls": 0})
@@ -90,7 +91,11 @@
     async def around(self, request, handler):
         """Bounds and errors, the same for all calls."""
         if request.path.startswith("/peer/"):
-            return await self.guarded(request, handler)
+            if self.peers >= MOST_PEER_CALLS:
+                self.counts["calls_turned_away"] += 1
+                return not_now(TooMany(f"{MOST_PEER_CALLS} calls of members are being answered"))
+            with self.counted("peers"):
+                return await self.guarded(request, handler)
         if self.open >= MOST_CALLS:
             self.counts["calls_turned_away"] += 1
             return not_now(TooMany(f"{MOST_CALLS} calls are being answered"), retry=1000)
@@ -286,6 +291,8 @@
         return web.Response(status=self.member.heard(some))
 
     async def form(self, request):
+        if self.member.host is not None:
+            return answer(409, {"reason": f"{self.member.name} is in a cluster"})
         why = await self.member.forming.handed(await self.body(request, LONGEST_FORM))
         return answer(409, {"reason": why}) if why else answer(200, {})
 
--- a/lemonlead/member/run.py
+++ b/lemonlead/member/run.py
@@ -2,6 +2,8 @@
 folder or address that cannot be used."""
 
 import asyncio
+import contextlib
+import resource
 import secrets
 import signal
 import socket
@@ -25,7 +27,9 @@
 from .peers import Peers
 from .shelf import Shelf
 
-MOST_CONNECTIONS = 4000  # past it a new one is closed at once
+MOST_CONNECTIONS = 4000  # past it, or what descriptors allow, a new one is closed at once
+SPARE = 200  # descriptors for all that is no connection of others to this member
+FOR_MEMBERS = 64  # connections above the bound, for other members alone
 BACKLOG = 512
 IDLE = 75  # seconds that a connection is kept without a call
 LINGER = 0.5  # seconds at the end for calls that are being answered
@@ -55,7 +59,7 @@
             structlog.processors.TimeStamper(fmt="iso"),
             structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
         ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        logger_factory=structlog.PrintLoggerFactory(Lines()),
         cache_logger_on_first_use=True,
     )
 
@@ -89,7 +93,8 @@
         self.log = structlog.get_logger(member=told.member)
         self.seed, self.loop, self.ledger = secrets.randbits(48), asyncio.get_running_loop(), whole.ledger()
         self.host, self.why, self.tasks, self.runner, self.server = None, "", set(), None, None
-        self.ending, self.code = asyncio.Event(), 0
+        self.ending, self.code, self.closed = asyncio.Event(), 0, 0
+        self.most_connections = min(MOST_CONNECTIONS, max(descriptors() - SPARE, SPARE))
         times = told.times
         self.asking = Asking(self.name, told.listen, told.clusters, max(times.election / 2e9, 0.25), 11)
         self.peers = Peers(
@@ -202,9 +207,15 @@
         self.log.info("ready", listen=self.told.listen, cluster=self.told.cluster, folder=self.folder.id)
 
     def connection(self):
-        if len(self.runner.server.connections) >= MOST_CONNECTIONS:
-            return Closing()
-        return self.runner.server()
+        if len(self.runner.server.connections) < self.most_connections:
+            return self.runner.server()
+        return Late(self)
+
+    def is_member(self, host):
+        """Whether a connection from there may be another member's."""
+        seats = self.host.desk.replica.seats.values() if self.host is not None else ()
+        addresses = {*self.told.members.values(), *(seat.address for seat in seats)}
+        return host in {address.rpartition(":")[0] for address in addresses}
 
     async def until_ended(self):
         await self.ending.wait()
@@ -262,6 +273,7 @@
         tables = [("http", self.outdoors.counts), ("peers", self.peers.counts), ("disk", self.shelf.counts)]
         tables += [("asked", self.asking.counts), ("forming", self.forming.counts)]
         now = {"open": self.outdoors.open, "polls": self.outdoors.polls, "jobs": len(self.shelf.jobs)}
+        now.update(lines_lost=Lines.lost, connections_closed=self.closed)
         now["queued"] = sum(len(queue.messages) for queue in self.peers.queues.values())
         now["connections"] = len(self.runner.server.connections) if self.runner.server else 0
         if host is not None:
@@ -273,6 +285,48 @@
         return told
 
 
-class Closing(asyncio.Protocol):
+class Late(asyncio.Protocol):
+    """A connection past the bound: closed at once, unless it may be another member's. Against clients that
+    hold so many that a member which was started anew finds no way in."""
+
+    def __init__(self, member):
+        self.member = member
+
     def connection_made(self, transport):
-        transport.abort()
+        member, server = self.member, self.member.runner.server
+        room = len(server.connections) < member.most_connections + FOR_MEMBERS
+        if room and member.is_member(transport.get_extra_info("peername", ("",))[0]):
+            handler = server()
+            transport.set_protocol(handler)
+            handler.connection_made(transport)
+        else:
+            member.closed += 1
+            transport.abort()
+
+
+def descriptors():
+    """How many this process may have; all that the system lets it."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    most = min(hard, 65536) if hard != resource.RLIM_INFINITY else 65536
+    with contextlib.suppress(OSError, ValueError):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, most), hard))
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
+class Lines:
+    """Standard output for log lines. A log that cannot be written (its disk is full as well) is no reason to
+    stop: the lines are lost, and counted."""
+
+    lost = 0
+
+    def write(self, text):
+        try:
+            sys.stdout.write(text)
+        except OSError:
+            Lines.lost += 1
+
+    def flush(self):
+        try:
+            sys.stdout.flush()
+        except OSError:
+            Lines.lost += 1
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import resource
 import threading
 import time
 
@@ -33,6 +34,12 @@
     return fields, told
 
 
+def alike(cluster, part):
+    """Whether all members hold the same, each as it has it."""
+    states = [cluster.ask(name, "GET", f"/v1/state/{part}?read=local")[1] for name in cluster.forming]
+    return all((state["at"], state["items"]) == (states[0]["at"], states[0]["items"]) for state in states)
+
+
 def spoiled(cluster, capsys, text):
     """How a member ends that is started with a file changed like this: (exit code, what it said)."""
     path = cluster.settings("g1")
@@ -220,6 +227,8 @@
     assert {name: trio.ask(name, "GET", "/peer/hello")[1] for name in trio.forming} == before
     assert [trio.done(**fields) for fields, _ in said] == [(200, told) for _, told in said]
     assert trio.items("g1", "nodes").keys() >= {fields["node"] for fields, _ in said}
+    for part in ("nodes", "sites", "members", "followers"):
+        until(lambda part=part: alike(trio, part), f"all have the same {part}")
 
 
 def test_a_leader_that_was_stopped_serves_no_stale_read(trio):
@@ -244,6 +253,23 @@
     trio.wait_status(leader, role="follower", leader=after)
 
 
+def test_a_leader_whose_disk_fails_gives_leadership_up_and_acknowledges_nothing(trio):
+    fields, _ = declare(trio, 650)
+    leader = trio.wait_leader()
+    resource.prlimit(trio.processes[leader].pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
+    code, told = trio.command(leader, id="full/1", kind="node", node="full", site="s", units=1)
+    assert code in (200, 503)  # 200: another leader has done it by then
+    after = trio.wait_leader(other_than=leader)
+    until(lambda: "its disk failed" in trio.status(leader).get("reason", ""), "it says why")
+    assert trio.ask(leader, "GET", "/readyz")[0] == 503
+    assert trio.done(id="full/1", kind="node", node="full", site="s", units=1)[0] == 200
+    assert trio.items(after, "nodes").keys() >= {fields["node"], "full"}
+    until(lambda: trio.status(after)["bears"] == 0, "it counts as lost")
+    trio.kill(leader)
+    trio.start(leader)
+    until(lambda: trio.status(after).get("bears") == 1, "it is back")
+
+
 def test_sigterm_hands_leadership_over(trio):
     """No client waits for an election: the longest pause of one that goes on asking is short of it."""
     leader, done, longest = trio.wait_leader(), threading.Event(), [0.0]
