--- /dev/null
+++ b/lemonlead/standins/installation.py
@@ -0,0 +1,297 @@
+"""A whole installation on loopback: clusters of members, gateways that follow the first of them, nodes,
+clients with lookups under way, operators with commands under way, and a network between all that fails by
+order.
+
+What is counted is counted at nodes and clients alone: lookups answered and lost, one-shots that ran twice,
+gangs and groups that were broken, sends to nodes that were said to be clear, acknowledged commands that
+are gone. No code is shared with what is checked."""
+
+import contextlib
+import json
+import random
+import re
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+from types import SimpleNamespace
+
+from . import promises
+from .clients import Crowd
+from .discovery import entry
+from .fleet import gateway
+from .members import Cluster, until, who
+from .nodes import Agent, Members, Node, Replicas
+from .wires import Wires
+
+GATEWAY = re.compile(rb'gateway(?:=|": ?")([A-Za-z0-9_.-]+)')
+LENGTH = re.compile(rb"Content-Length: (\d+)", re.IGNORECASE)
+LANES = ("look", "look", "look", "hold", "buy")
+OPERATOR_PAUSE = 0.02  # seconds between the commands of one operator
+
+
+def caller(data):
+    """Which member or gateway a call to a member is from, by its first bytes; None where more are needed."""
+    head, end, body = data.partition(b"\r\n\r\n")
+    if (found := who(data)) != "client":
+        return found
+    if head.startswith(b"POST") and end and (size := LENGTH.search(head)) and len(body) < int(size[1]):
+        return None
+    named = GATEWAY.search(data)
+    return named[1].decode() if named else "client"
+
+
+class Shop(Node):
+    """A node that knows by lookup which one-shots it ran."""
+
+    def __init__(self, *words, ran, **more):
+        super().__init__(*words, **more)
+        self.ran = ran
+
+    def taken_by(self, gateway):
+        react = super().taken_by(gateway)
+
+        def counted(words):
+            if words[0].upper() == b"Q.DO" and b"c=buy" in words[3]:
+                self.ran[words[2]] += 1
+            return react(words)
+
+        return counted
+
+
+class Operator:
+    """Reserves and frees under ids of its own, at one member after the other, the same id again after each
+    answer that leaves it open. `held` is what the ledger acknowledged; `open` what it left open at the
+    end."""
+
+    def __init__(self, name, addresses, site, seed):
+        self.name, self.site, self.random = name, site, random.Random(seed)
+        self.members, self.stopped = Members(*addresses), threading.Event()
+        self.held, self.open, self.counts, self.number = {}, set(), Counter(), 0
+        self.longest, self.last = 0.0, time.monotonic()  # seconds without an acknowledgement
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def start(self):
+        self.last = time.monotonic()
+        self.thread.start()
+        return self
+
+    def run(self):
+        while not self.stopped.wait(OPERATOR_PAUSE):
+            self.number += 1
+            if len(self.held) > 20 or self.held and self.random.random() < 0.4:
+                name = self.random.choice(sorted(self.held))
+                told = {"kind": "free", "reservation": name}
+            else:
+                name = f"{self.name}.{self.number}"
+                told = {"kind": "reserve", "reservation": name, "service": self.name, "units": 1}
+                told["site"] = self.site
+            self.open.add(name)
+            answer = self.members.command(self.stopped, id=f"{self.name}/{self.number}", **told)
+            if answer is None:
+                continue
+            self.open.discard(name)
+            now = time.monotonic()
+            self.longest, self.last = max(self.longest, now - self.last), now
+            self.counts[told["kind"], answer[0]] += 1
+            if answer[0] == 200 and told["kind"] == "reserve":
+                self.held[name] = answer[1]["at"]
+            elif answer[0] == 200:
+                del self.held[name]
+
+    def stop(self):
+        self.stopped.set()
+        self.thread.join(30)
+
+    def faults(self, reservations):
+        """What of its own the ledger should have and has not, or the other way round."""
+        mine = {name for name, held in reservations.items() if held["service"] == self.name} - self.open
+        held = set(self.held) - self.open
+        lost = [f"{name} was acknowledged at {self.held[name]} and is gone" for name in sorted(held - mine)]
+        return lost + [f"{name} was freed, or refused, and stands" for name in sorted(mine - held)]
+
+
+class Installation:
+    """`clusters`: name to names of its members; the first is followed by gateways and nodes. Used as a
+    context it ends all that it started."""
+
+    def __init__(self, folder, clusters, nodes=6, gateways=2, units=10, seed=1, terms="", work=0.005):
+        self.folder, self.units, self.random = Path(folder), units, random.Random(seed)
+        self.wires, self.ran, self.stack = Wires(seed), Counter(), contextlib.ExitStack()
+        more = f"terms: {{lease: 4s, grace: 500ms, cold: 1s{terms}}}"
+        self.clusters = {
+            name: Cluster(self.folder / name, members, name, wires=self.wires, more=more)
+            for name, members in clusters.items()
+        }
+        for name, cluster in self.clusters.items():
+            for member in cluster.forming:  # who calls is told by what it says, gateways among them
+                cluster.addresses[member] = self.wires.front(member, cluster.listens[member], caller)
+            self.wires.group(name, *cluster.forming)
+        for name, cluster in self.clusters.items():
+            others = {other: one for other, one in self.clusters.items() if other != name}
+            cluster.clusters = {o: [c.addresses[m] for m in c.forming] for o, c in others.items()}
+        self.home = next(iter(self.clusters.values()))
+        self.nodes = [Shop(f"n{n}", ran=self.ran, work=work, away=0.05) for n in range(nodes)]
+        self.agents, self.gateways, self.crowds, self.operators, self.groups = [], [], [], [], []
+        self.names = [f"gw{n}" for n in range(gateways)]
+        for name in self.names:
+            self.wires.party(name)
+
+    def __enter__(self):
+        try:
+            for cluster in self.clusters.values():
+                cluster.start()
+            for cluster in self.clusters.values():
+                cluster.wait_leader()
+        except BaseException:
+            self.__exit__(None, None, None)
+            raise
+        return self
+
+    def __exit__(self, *_):
+        for one in self.operators + self.crowds:
+            one.stop()
+        for agent in self.agents:
+            agent.stopped.set()
+        self.stack.close()
+        for cluster in self.clusters.values():
+            cluster.close()
+        for node in self.nodes:
+            node.close()
+        self.wires.close()
+
+    def __getitem__(self, name):
+        return next(node for node in self.nodes if node.name == name)
+
+    # ---- what is there
+
+    def declare(self, site="here", cluster=None, names=None):
+        """The nodes at the first cluster, or names alone at another one."""
+        cluster = cluster or self.home
+        for name in names or [node.name for node in self.nodes]:
+            told = {"kind": "node", "node": name, "site": site, "units": self.units}
+            assert cluster.done(id=f"declare/{name}", **told)[0] == 200
+
+    def group(self, name, nodes, quorum):
+        told = {"kind": "group", "group": name, "nodes": nodes, "quorum": quorum}
+        assert self.home.done(id=f"group/{name}", **told)[0] == 200
+        self.groups.append(Replicas(name, [self[node] for node in nodes], quorum))
+
+    def addresses(self, cluster=None):
+        cluster = cluster or self.home
+        return [cluster.addresses[name] for name in cluster.forming]
+
+    def serve(self, crowd=4):
+        """Starts the agents, the gateways that follow, and clients that go on asking at each."""
+        for node in self.nodes:
+            self.agents.append(Agent(node, Members(*self.addresses())).start())
+        members = {name: self.home.addresses[name] for name in self.home.forming}
+        for name in self.names:
+            told = ", ".join(f"{one}: {json.dumps(where)}" for one, where in members.items())
+            entries = []
+            for node in self.nodes:
+                where = self.wires.wire(name, node.name, node.listen(name))
+                entries.append(entry(node.name, SimpleNamespace(address=where)))
+            folder = self.folder / name
+            folder.mkdir()
+            follow = f'follow: {{name: "{name}", wait: 10s, members: {{{told}}}}}'
+            ran = self.stack.enter_context(gateway(folder, entries=entries, follow=follow))
+            self.gateways.append(ran)
+        for ran in self.gateways:
+            self.crowds.append(Crowd(ran.port, crowd, self.ask).start())
+        return self
+
+    def ask(self, client, number):
+        key = b"%016x" % self.random.getrandbits(64)
+        client.ask(key, lane=self.random.choice(LANES), wait=8000)
+        return key
+
+    def operate(self, site="here", count=2, cluster=None):
+        cluster = cluster or self.home
+        for n in range(count):
+            name = f"{cluster.cluster}-op{n}"
+            addresses = self.addresses(cluster)
+            self.operators.append(Operator(name, addresses[n:] + addresses[:n], site, n).start())
+            self.operators[-1].cluster = cluster
+        return self
+
+    # ---- waits
+
+    def answered(self):
+        return sum(crowd.total() for crowd in self.crowds)
+
+    def wait_lookups(self, more, patience=60):
+        """Until so many more were answered."""
+        upto = self.answered() + more
+        until(lambda: self.answered() >= upto, lambda: f"lookups: {self.counts()}", patience)
+
+    def wait_acknowledged(self, more, patience=60):
+        """Until so many more commands of operators were acknowledged."""
+        upto = self.acknowledged() + more
+        until(lambda: self.acknowledged() >= upto, lambda: f"commands: {self.acknowledged()}", patience)
+
+    def acknowledged(self):
+        return sum(sum(one.counts.values()) for one in self.operators)
+
+    def items(self, part, cluster=None):
+        """A part of the state as of now."""
+        cluster = cluster or self.home
+        return until(lambda: self.asked(cluster, part), lambda: f"state {part} of {cluster.cluster}")[0]
+
+    def asked(self, cluster, part):
+        """The part in a list, as it may be empty; an empty list where no member can tell it."""
+        told = (cluster.items(name, part) for name in cluster.running() if name not in cluster.paused)
+        return [found for found in told if found is not None][:1]
+
+    def wait_drain(self, name, *phases, patience=120):
+        return until(
+            lambda: (told := self.items("drains").get(name)) and told["phase"] in phases and told,
+            lambda: f"drain {name}: {self.items('drains').get(name)}, {self.items('permits')}, "
+            f"{[(node.name, node.state) for node in self.nodes]}",
+            patience,
+        )
+
+    def wait_move(self, name, *ends, patience=120):
+        return until(
+            lambda: (told := self.items("moves").get(name)) and told["end"] in ends and told["told"] and told,
+            lambda: f"move {name}: {self.items('moves').get(name)}",
+            patience,
+        )
+
+    # ---- what came of it
+
+    def counts(self):
+        """Of all lookups by their ending: right, pushed back, errors, wrong, lost."""
+        total = Counter()
+        for crowd in self.crowds:
+            with crowd.lock:
+                total.update(crowd.counts)
+        return total
+
+    def parts(self, cluster):
+        names = ("nodes", "reservations", "gangs", "groups", "sites", "loads")
+        return {name: self.items(name, cluster) for name in names}
+
+    def faults(self):
+        """All that went wrong, as texts; asked once operators are stopped and the network is whole."""
+        found, counts = [], self.counts()
+        found += [f"lookups {what}: {counts[what]}" for what in ("wrong", "lost", "errors") if counts[what]]
+        twice = [id for id, times in self.ran.items() if times > 1]
+        found += [f"one-shots that ran twice: {len(twice)}"] if twice else []
+        for node in self.nodes:
+            found += [f"{node.name}: {what} {node.counts[what]}" for what in ("after clear", "ended") if
+                      node.counts[what]]  # fmt: skip
+        found += [
+            f"group {group.name} was broken {group.broken} times" for group in self.groups if group.broken
+        ]
+        for agent in self.agents:
+            found += [f"{agent.node.name}: report refused {refused}" for refused in agent.refused]
+        for cluster in self.clusters.values():
+            parts = self.parts(cluster)
+            found += [
+                f"{cluster.cluster}: {fault}" for fault in promises.faults(parts) + promises.over(parts)
+            ]
+            for operator in self.operators:
+                if operator.cluster is cluster:
+                    found += operator.faults(parts["reservations"])
+        return found
