--- a/lemonlead/standins/wires.py
+++ b/lemonlead/standins/wires.py
@@ -376,18 +376,18 @@
                         far.shutdown(socket.SHUT_WR)
                     return
                 data, ends = self.spoilt(link, data, passed)
-                for _ in range(1 + (link.repeat > 0)):
-                    await self.loop.sock_sendall(far, data)
-                if link.repeat > 0:
-                    link.repeat -= 1
-                    self.count(link, "repeated")
-                passed += len(data)
-                with self.changed:
+                with self.changed:  # counted first: whoever gets it may look at once
+                    twice = link.repeat > 0
+                    link.repeat -= twice
+                    link.counts["repeated"] += twice
                     link.counts["pieces"] += 1
                     link.counts["bytes"] += len(data)
+                    link.counts["short"] += ends
                     self.changed.notify_all()
+                passed += len(data)
+                for _ in range(1 + twice):
+                    await self.loop.sock_sendall(far, data)
                 if ends:
-                    self.count(link, "short")
                     return self.end(connection, reset=True)
                 if link.rate:
                     await asyncio.sleep(len(data) / link.rate)
