--- a/lemonlead/standins/simulated/disks.py
+++ b/lemonlead/standins/simulated/disks.py
@@ -130,8 +130,13 @@
         self.works, self.busy, self.failing = [], False, None
         self.ahead = self.held.copy()
 
+    def at_speed(self):
+        """No longer slow; a broken one stays so."""
+        self.least, self.most = 1 * MS, 6 * MS
+
     def heal(self):
-        self.broken, self.least, self.most = "", 1 * MS, 6 * MS
+        self.broken = ""
+        self.at_speed()
 
     def kept(self):
         """What a replica is given at its start."""
--- a/lemonlead/standins/simulated/schedules.py
+++ b/lemonlead/standins/simulated/schedules.py
@@ -304,13 +304,13 @@
     def slow_disk(self, host, trouble):
         disk = host.disk
         disk.least, disk.most = 30 * MS, (60 + trouble.more % 300) * MS
-        self.later(trouble, disk.heal)
+        self.later(trouble, disk.at_speed)
 
     def stalled_disk(self, host, trouble):
         """One sync that takes as long as the trouble lasts."""
         disk = host.disk
         disk.least = disk.most = trouble.length * MS
-        self.world.after(300 * MS, disk.heal)
+        self.world.after(300 * MS, disk.at_speed)
 
     def broken_disk(self, host, trouble):
         """Full, or a sync that fails. Once it is mended, the process is started anew."""
