--- a/benchmarks/drains.py
+++ b/benchmarks/drains.py
@@ -16,14 +16,16 @@
 HOUR = 3_600_000
 
 
-def fleet(count, seed, away=(500, 3000)):
-    """Sites of 50 nodes, half of each promised; groups of 3 and 5, one or two a node; gangs on a tenth."""
+def fleet(count, seed, promised=0.5, away=(500, 3000)):
+    """Sites of 50 nodes, so much of each promised; groups of 3 and 5, one or two a node; gangs on a tenth."""
     chance, made = random.Random(seed), World(seed, away=away)
     nodes = [f"n{number:05}" for number in range(count)]
     for number, name in enumerate(nodes):
         made.ask("node", node=name, site=f"s{number % max(2, count // 50)}", units=chance.choice((8, 8, 16)))
     for site, sums in list(made.state.part("sites").items()):
-        made.ask("reserve", reservation=f"r{site}", service="web", site=site, units=sums.units // 2)
+        made.ask(
+            "reserve", reservation=f"r{site}", service="web", site=site, units=int(sums.units * promised)
+        )
     for turn in range(2):
         order = chance.sample(nodes, count)
         for number in range(0, count - 5, 5 if turn else 3):
@@ -111,8 +113,8 @@
     print(json.dumps(what), flush=True)
 
 
-def planned(count):
-    made, nodes, chance = fleet(count, count)
+def planned(count, promised):
+    made, nodes, chance = fleet(count, count, promised)
     free_of_gangs(made)
     began = time.process_time()
     view = View()
@@ -132,6 +134,7 @@
         took.append(time.process_time() - began)
     tell(
         nodes=count,
+        promised=promised,
         waves=waves,
         lower_bound=bound,
         to_bound=round(waves / bound, 3),
@@ -189,7 +192,8 @@
     sizes = [int(one) for one in sys.argv[1:]] or SIZES
     beside_the_optimum()
     for count in sizes:
-        planned(count)
+        for promised in (0.5, 0.85):
+            planned(count, promised)
     for count in sizes:
         calm, calm_s, _, took = whole_drain(count, False)
         ill, ill_s, refused, took_ill = whole_drain(count, True)
--- a/lemonlead/drains/planner.py
+++ b/lemonlead/drains/planner.py
@@ -5,10 +5,11 @@
 in one. First fit, the scarcest first, then again by the waves found, last wave first: that never takes more
 waves and often fewer. After an event only what it touched is placed anew."""
 
+import random
 from dataclasses import dataclass, field
 
-TRIES = 24  # more rounds while the waves are more than the lower bound
-WORK = 30_000  # nodes placed in all rounds: large fleets get fewer
+TRIES = 60  # more rounds while the waves are more than the lower bound
+WORK = 20_000  # nodes placed in all rounds: large fleets get fewer
 WITHIN = 1.25  # of the lower bound: past it, a plan that was changed is made anew
 
 
@@ -32,20 +33,44 @@
 
 def lower_bound(asked, names):
     """No plan for these takes fewer waves."""
-    sums, counts, least, most = {}, {}, {}, 1 if names else 0
+    parts = {}
     for name in names:
         for limit, much in asked.takes[name]:
             if much:
-                sums[limit] = sums.get(limit, 0) + much
-                cap = asked.caps[limit]
-                if 2 * much > cap:  # no two of these go together
-                    counts[limit] = counts.get(limit, 0) + 1
-                least[limit] = min(least.get(limit, much), much)
-    for limit, total in sums.items():
-        most = max(most, -(-total // asked.caps[limit]), counts.get(limit, 0))
+                sizes = parts.get(limit)
+                if sizes is None:
+                    sizes = parts[limit] = {}
+                sizes[much] = sizes.get(much, 0) + 1
+    most = 1 if names else 0
+    for limit, sizes in parts.items():
+        most = max(most, waves_for(sizes, asked.caps[limit]))
     return most
 
 
+def waves_for(sizes, cap):
+    """At least so many waves for one limit. `sizes`: how much to how many nodes take that. After Martello
+    and Toth ("Lower bounds and reduction procedures for the bin packing problem", 1990): those of more than
+    half go one by one; what is left beside them takes only so many of the smaller."""
+    total = sum(much * count for much, count in sizes.items())
+    best = -(-total // cap)
+    if len(sizes) > 1 or 2 * max(sizes) > cap:
+        for small in sizes:
+            if 2 * small > cap:
+                best = max(best, sum(count for much, count in sizes.items() if much >= small))
+                continue
+            large, room, rest = 0, 0, 0
+            for much, count in sizes.items():
+                if 2 * much > cap:
+                    large += count
+                    room += count * ((cap - much) // small)
+                elif much >= small:
+                    rest += count
+            best = max(best, large - (-max(0, rest - room) // (cap // small)))
+    elif len(sizes) == 1:
+        best = max(best, -(-total // (cap // max(sizes) * max(sizes))))
+    return best
+
+
 class Plan:
     """Waves that are kept as the fleet changes."""
 
@@ -55,7 +80,7 @@
         self.first, self.least = {}, {}  # limit to the first wave with room; to the least that a node takes
         self.took, self.totals, self.most = {}, {}, {}  # what each placed node takes; by limit: sum, most
         self.index = None  # limit to the names placed that take part of it; made once wanted
-        self.bound = 0
+        self.bound, self.fresh = 0, True  # no plan takes fewer waves; nothing was changed since all was made
         if asked is not None:
             self.make(asked)
 
@@ -63,17 +88,21 @@
 
     def make(self, asked):
         """All anew."""
+        self.fresh = True
         self.asked = asked
         self.blocked = {name: limit for name in asked.takes if (limit := blocked(asked, name)) is not None}
         names = [name for name in asked.takes if name not in self.blocked]
         self.bound = lower_bound(asked, names)
         rounds = max(1, min(TRIES, WORK // max(1, len(names))))
         self.fill(self.scarcest(names))
-        best = self.waves
+        best, chance = self.waves, random.Random(len(names))
         for turn in range(rounds):
             if len(best) <= self.bound:
                 break
-            waves = best[::-1] if turn % 2 else sorted(best, key=len, reverse=True)
+            if turn % 3 == 2:
+                waves = [chance.sample([*wave], len(wave)) for wave in chance.sample(best, len(best))]
+            else:
+                waves = best[::-1] if turn % 3 else sorted(best, key=len, reverse=True)
             self.fill(self.by_rank([name for wave in waves for name in wave]))
             if len(self.waves) <= len(best):
                 best = self.waves
@@ -175,6 +204,7 @@
         other caps. What is gone leaves, what has no room any more or is new is placed anew; nothing else
         is touched. The waves may become more than a whole plan's: see `far`."""
         takes, caps = self.asked.takes, self.asked.caps
+        self.fresh = False
         if self.index is None:
             self.index = {}
             for name, some in self.took.items():
@@ -221,7 +251,7 @@
 
     def far(self):
         """Whether it is worth to make it anew whole."""
-        return len(self.waves) > max(self.bound + 1, WITHIN * self.bound)
+        return not self.fresh and len(self.waves) > max(self.bound + 1, WITHIN * self.bound)
 
     def evict(self, limits):
         """Names that have to leave their waves, as a limit lets fewer go: those placed last first."""
