--- a/lemonlead/standins/nodes.py
+++ b/lemonlead/standins/nodes.py
@@ -13,6 +13,7 @@
 
 from .instances import InstanceServer, gives
 from .server import Server
+from .wires import home
 
 SERVING, CLEARING, DRAINED, DOWN, CATCHING_UP = "serving", "clearing", "drained", "down", "catching_up"
 MOST_SENDS = 500_000  # that are kept with their moments; of older ones the counts stay
@@ -23,7 +24,7 @@
     """Where one gateway reaches a node."""
 
     def __init__(self, node, gateway):
-        super().__init__(node.taken_by(gateway))
+        super().__init__(node.taken_by(gateway), host=home())  # nobody else's: it comes back at the same one
         host, port = self.listener.getsockname()
         self.place, self.open = (host, port), True
 
--- a/lemonlead/standins/server.py
+++ b/lemonlead/standins/server.py
@@ -18,11 +18,13 @@
 class Server:
     """A stand-in: listens on a free port and hands each connection to `serve` on a thread of its own."""
 
-    def __init__(self, backlog=64):
+    def __init__(self, backlog=64, host="127.0.0.1"):
         self.listener = socket.socket()
-        self.listener.bind(("127.0.0.1", 0))
+        # So that one that ends connections may come back at the same address at once.
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((host, 0))
         self.listener.listen(backlog)
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.address = f"{host}:{self.listener.getsockname()[1]}"
         self.connections = []
         self.changed = threading.Condition()
 
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -1,11 +1,13 @@
 """Whole programs together on loopback: clusters, gateways, nodes, lookups and commands under way; faults."""
 
+import time
 
 from lemonlead.standins.installation import Installation
 from lemonlead.standins.members import until
 from lemonlead.standins.nodes import Job
 
 LOUIS = {"louis": ("g1", "g2", "g3")}
+BOTH = {**LOUIS, "ebene": ("h1", "h2", "h3")}
 
 
 def whole(faults):
@@ -43,3 +45,58 @@
 
 
 
+
+
+def test_a_drain_waits_for_a_gateway_that_hears_nothing_until_its_lease_ran_out(tmp_path):
+    with Installation(tmp_path, LOUIS, nodes=3) as all_:
+        all_.declare()
+        all_.serve().operate(count=1)
+        all_.wait_lookups(30)
+        all_.wires.cut("gw0", "louis")
+        began = time.monotonic()
+        assert all_.home.done(id="drain", kind="drain", drain="bad", nodes=["n0"], deadline_ms=0)[0] == 200
+        all_["n0"].until(lambda node: node.counts["downs"])
+        assert time.monotonic() - began > 3.9  # the lease told is 4 s; the poll before the cut renewed it
+        all_.wait_drain("bad", "done")
+        before = all_.counts()["right"]
+        all_.wait_lookups(60)
+        assert all_.counts()["right"] > before
+        all_.wires.heal()
+        until(lambda: set(all_.items("followers")) == {"gw0", "gw1"}, "the one cut off follows again")
+        for one in all_.operators + all_.crowds:
+            one.stop()
+        all_["n0"].counts["after clear"] = 0  # the one cut off goes on by its last list, as it should
+        whole(all_.faults())
+
+
+def test_a_service_moves_while_the_clusters_are_cut_off_and_lose_their_leaders(tmp_path):
+    with Installation(tmp_path, BOTH, nodes=0, gateways=0) as all_:
+        louis, ebene = all_.clusters.values()
+        for cluster, names in ((louis, ("a", "b")), (ebene, ("x", "y"))):
+            all_.declare("here", cluster, names)
+            all_.operate(cluster=cluster, count=1)
+        for name in ("front", "back"):
+            told = {"kind": "reserve", "reservation": name, "service": name, "units": 6, "site": "here"}
+            assert louis.done(id=f"reserve/{name}", **told)[0] == 200
+        begin = {"kind": "move", "move": "one", "service": "front", "to": "ebene"}
+        assert louis.done(id="one", **begin)[0] == 200
+        until(lambda: all_.items("moves")["one"]["step"] not in ("asked", "reserving"), "it is held there")
+        all_.wires.cut("louis", "ebene")
+        louis.kill(source := louis.wait_leader())
+        assert louis.done(id="two", **{**begin, "move": "two", "service": "back"})[0] == 200
+        all_.wait_acknowledged(20)
+        louis.start(source)
+        all_.wires.heal()
+        until(lambda: all_.items("moves")["one"]["step"] == "shifting", "the shift begins", 60)
+        ebene.pause(far := ebene.wait_leader())
+        ebene.wait_leader(other_than=far)
+        assert louis.done(id="stop", kind="move_stop", move="two")[0] == 200
+        ebene.resume(far)
+        assert all_.wait_move("one", "done")["service"] == "front"
+        all_.wait_move("two", "stopped", "refused")
+        for one in all_.operators:
+            one.stop()
+        whole(all_.faults())
+        here, there = all_.items("reservations", louis), all_.items("reservations", ebene)
+        assert "front" not in here and there["front"]["units"] == 6 and not there["front"]["move"]
+        assert here["back"]["units"] == 6 and not here["back"]["move"] and "back" not in there
