--- a/lemonlead/drains/view.py
+++ b/lemonlead/drains/view.py
@@ -67,6 +67,11 @@
                     self.hopes[name] = sum(self.hoped.get(node, 0) for node in group.nodes)
                     self.stale.add(("group", name))
                     changed.update(group.nodes, old.nodes if old else ())
+            for name in [name for name in self.groups if name not in new]:
+                changed.update(self.groups[name].nodes)
+                self.stale.discard(("group", name))
+                self.hopes.pop(name, None)
+                self.asked.caps.pop(("group", name), None)
             self.groups = new
 
     def reckon(self, state, name, late):
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -2,6 +2,7 @@
 that may go wrong, counted by a checker that shares no code with them."""
 
 import random
+from dataclasses import replace
 from itertools import combinations
 
 import msgspec
@@ -13,6 +14,9 @@
 from lemonlead.drains.planner import Asked, Plan, lower_bound
 from lemonlead.drains.view import View
 from lemonlead.ledger.faults import Senseless
+from lemonlead.ledger.records import Entry
+from lemonlead.ledger.state import Draft
+from lemonlead.moves.rules import ungroup
 from lemonlead.standins.drain_checks import Watch
 from lemonlead.standins.drain_world import MS, S, World
 
@@ -592,6 +596,22 @@
         assert kept.asked.ranks == anew.asked.ranks
 
 
+def test_a_group_that_is_no_more_binds_nobody():
+    made, kept = world(4), View()
+    made.ask("group", group="g", nodes=names(3), quorum=2)
+    begin(made, names(4))
+    running = dict(made.state.part("drains"))
+    kept.update(made.state, running, frozenset())
+    plan = Plan(kept.asked)
+    assert len(plan.waves) == 4  # the site's share lets one go at once
+    draft = Draft(made.state, Entry(made.state.index + 1, 1, 1, made.now, made.wall, b""))
+    ungroup(draft, "g")  # as a move does at its end
+    names_, limits = kept.update(replace(made.state, parts=draft.parts), running, frozenset())
+    plan.change(names_, limits)
+    assert ("group", "g") not in kept.asked.caps and len(plan.waves) == 4
+    assert all(len(takes) == 2 for takes in kept.asked.takes.values())
+
+
 # ---- the checker catches what it is there for
 
 
