--- a/lemonlead/member/host.py
+++ b/lemonlead/member/host.py
@@ -9,6 +9,7 @@
 import gc
 import time
 from collections import deque
+from contextlib import contextmanager
 
 from ..ledger.desk import Desk
 from ..ledger.records import LEADER
@@ -31,6 +32,7 @@
         self.soon = self.timer = None
         self.wake, self.ended, self.office = 0, False, None
         self.changed = asyncio.Event()  # set as the office changes
+        self.leaving = {}  # futures of those that wait for an answer of the leader of this name
         self.counts = {"messages": 0, "messages_dropped": 0, "turns": 0}
         self.counts.update({"longest_late_ms": 0, "longest_turn_ms": 0})
         settle_memory()
@@ -83,6 +85,17 @@
     def hand_over(self):
         self.add(self.desk.hand_over)
 
+    @contextmanager
+    def left(self, leader):
+        """A future that is done once this member is no longer known to lead."""
+        future = self.loop.create_future()
+        self.leaving[future] = leader
+        try:
+            yield future
+        finally:
+            del self.leaving[future]
+            future.cancel()
+
     # ---- what is told of it
 
     def address(self, name):
@@ -172,6 +185,9 @@
         if office != self.office:
             self.office = office
             self.changed.set()
+            for future, leader in list(self.leaving.items()):
+                if leader != replica.leader and not future.done():
+                    future.set_result(None)
             self.log.info("office", role=replica.role, term=replica.term, leader=replica.leader)
 
     def end(self):
--- a/lemonlead/member/outside.py
+++ b/lemonlead/member/outside.py
@@ -170,16 +170,24 @@
         return address
 
     async def pass_on(self, request, leader, data=None):
+        """To the leader, whose answer is waited for as long as it leads."""
         address = self.leader(request, leader)
         self.counts["passed_on"] += 1
-        seconds = COMMAND_TIME + 1
         method, path = request.method, request.path_qs
-        status, body = await self.asking.passed(method, address, path, seconds, MOST_PASSED, data)
+        asked = asyncio.ensure_future(
+            self.asking.passed(method, address, path, COMMAND_TIME + 1, MOST_PASSED, data)
+        )
+        try:
+            with self.host.left(leader) as left:
+                await asyncio.wait((asked, left), return_when=asyncio.FIRST_COMPLETED)
+            status, body = asked.result() if asked.done() else (-1, b"")
+        finally:
+            asked.cancel()
         if status > 0:
             return answer(status, body)
         if status == 0 or method == "GET":
-            raise NoLeader(f"{leader} leads and does not answer")
-        raise Undecided(f"{leader} leads and did not answer: it may yet be done")
+            raise NoLeader(f"{leader} led and did not answer")
+        raise Undecided(f"{leader} led and did not answer: it may yet be done")
 
     # ---- calls of operators and gateways
 
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -9,6 +9,7 @@
 import pytest
 
 from lemonlead.member import run
+from lemonlead.member.outside import COMMAND_TIME
 from lemonlead.standins.members import Cluster, until
 
 
@@ -242,8 +243,14 @@
     ]
     for reader in readers:
         reader.start()
+    other = next(name for name in trio.forming if name != leader)
+    began = time.monotonic()
+    passed = trio.command(other, id="paused/1", kind="node", node="paused", site="s", units=1)
+    assert passed[0] == 200 or passed[1]["outcome"] in ("unknown", "not done")
+    assert time.monotonic() - began < COMMAND_TIME  # as soon as the leader is known to be gone
     after = trio.wait_leader(other_than=leader)
     fields, _ = declare(trio, 600)
+    assert trio.done(id="paused/1", kind="node", node="paused", site="s", units=1)[0] == 200
     trio.resume(leader)
     answers.append(trio.ask(leader, "GET", "/v1/state/nodes"))
     for reader in readers:
--- a/tests/test_member_parts.py
+++ b/tests/test_member_parts.py
@@ -204,6 +204,7 @@
         host = Host.__new__(Host)
         host.loop, host.desk, host.wake, host.ended = asyncio.get_running_loop(), Desk(wake), wake, False
         host.messages, host.inputs, host.soon, host.timer = peers.deque(), peers.deque(), None, None
+        host.leaving = {}
         host.office, host.changed = ("follower", 1, ""), asyncio.Event()
         host.counts = dict.fromkeys(
             ("messages", "messages_dropped", "turns", "longest_late_ms", "longest_turn_ms"), 0
