--- a/lemonlead/member/outside.py
+++ b/lemonlead/member/outside.py
@@ -162,9 +162,11 @@
     def leader(self, request, leader):
         """The address of the member to pass this call on to; NoLeader where it is not to be passed on."""
         host = self.host
+        if leader == self.member.name:
+            raise TooMany(f"{leader} leads and takes no more now")
         if HOP in request.headers:
             raise NoLeader(f"{self.member.name} does not lead, {leader or 'nobody that it knows'} does")
-        address = host.address(leader) if leader != self.member.name else None
+        address = host.address(leader)
         if address is None:
             raise NoLeader(f"{self.member.name} knows no leader")
         return address
