--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -279,13 +279,14 @@
 
 def test_sigterm_hands_leadership_over(trio):
     """No client waits for an election: the longest pause of one that goes on asking is short of it."""
+    declare(trio, 670)
     leader, done, longest = trio.wait_leader(), threading.Event(), [0.0]
 
     def write():
         number, last = 0, time.monotonic()
         while not done.is_set():
             other = next(name for name in trio.forming if name != leader)
-            fields = dict(kind="report", node="n400", state="serving")
+            fields = dict(kind="report", node="n670", state="serving")
             if trio.command(other, id=f"over/{number}", **fields)[0] == 200:
                 longest[0] = max(longest[0], time.monotonic() - last)
                 number, last = number + 1, time.monotonic()
@@ -295,7 +296,7 @@
     try:
         assert trio.stop(leader) == 0
         trio.wait_leader(other_than=leader)
-        trio.done(id="over/end", kind="report", node="n400", state="serving")
+        trio.done(id="over/end", kind="report", node="n670", state="serving")
     finally:
         done.set()
         writer.join(30)
