--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -9,6 +9,7 @@
 import pytest
 
 from lemonlead.member import run
+from lemonlead.member.outside import COMMAND_TIME
 from lemonlead.standins.members import Cluster, until
 
 
@@ -242,8 +243,14 @@
     ]
     for reader in readers:
         reader.start()
+    other = next(name for name in trio.forming if name != leader)
+    began = time.monotonic()
+    passed = trio.command(other, id="paused/1", kind="node", node="paused", site="s", units=1)
+    assert passed[0] == 200 or passed[1]["outcome"] in ("unknown", "not done")
+    assert time.monotonic() - began < COMMAND_TIME  # as soon as the leader is known to be gone
     after = trio.wait_leader(other_than=leader)
     fields, _ = declare(trio, 600)
+    assert trio.done(id="paused/1", kind="node", node="paused", site="s", units=1)[0] == 200
     trio.resume(leader)
     answers.append(trio.ask(leader, "GET", "/v1/state/nodes"))
     for reader in readers:
@@ -272,13 +279,14 @@
 
 def test_sigterm_hands_leadership_over(trio):
     """No client waits for an election: the longest pause of one that goes on asking is short of it."""
+    declare(trio, 670)
     leader, done, longest = trio.wait_leader(), threading.Event(), [0.0]
 
     def write():
         number, last = 0, time.monotonic()
         while not done.is_set():
             other = next(name for name in trio.forming if name != leader)
-            fields = dict(kind="report", node="n400", state="serving")
+            fields = dict(kind="report", node="n670", state="serving")
             if trio.command(other, id=f"over/{number}", **fields)[0] == 200:
                 longest[0] = max(longest[0], time.monotonic() - last)
                 number, last = number + 1, time.monotonic()
@@ -288,7 +296,7 @@
     try:
         assert trio.stop(leader) == 0
         trio.wait_leader(other_than=leader)
-        trio.done(id="over/end", kind="report", node="n400", state="serving")
+        trio.done(id="over/end", kind="report", node="n670", state="serving")
     finally:
         done.set()
         writer.join(30)
