--- a/benchmarks/drains.py
+++ b/benchmarks/drains.py
@@ -8,6 +8,7 @@
 import time
 from itertools import combinations
 
+from lemonlead.drains import rules
 from lemonlead.drains.planner import Asked, Plan, lower_bound
 from lemonlead.drains.view import View
 from lemonlead.standins.drain_world import MS, S, World
@@ -16,9 +17,9 @@
 HOUR = 3_600_000
 
 
-def fleet(count, seed, promised=0.5, away=(500, 3000)):
+def fleet(count, seed, promised=0.5, **more):
     """Sites of 50 nodes, so much of each promised; groups of 3 and 5, one or two a node; gangs on a tenth."""
-    chance, made = random.Random(seed), World(seed, away=away)
+    chance, made = random.Random(seed), World(seed, **more)
     nodes = [f"n{number:05}" for number in range(count)]
     for number, name in enumerate(nodes):
         made.ask("node", node=name, site=f"s{number % max(2, count // 50)}", units=chance.choice((8, 8, 16)))
@@ -188,12 +189,96 @@
     return made.waves, made.now / S, made.refused, time.process_time() - began
 
 
+def cordon(how, seed):
+    """60 nodes to go within an hour. Gangs on two of them come every 5 s, and have for 20 minutes, and last 1
+    to 20 minutes, so that hardly a node is free: share of starts refused in that hour, and how much of it the
+    drain took."""
+    made, chance, kept = World(seed), random.Random(seed), rules.cordon_for
+    nodes = [f"n{number:02}" for number in range(60)]
+    for number, name in enumerate(nodes):
+        made.ask("node", node=name, site=f"s{number % 3}", units=20)
+    began, ended, asked, refused = made.wall + HOUR // 3, 0, 0, 0
+    rules.cordon_for = {"at once": at_once, "as it is": kept, "at the deadline": at_deadline}[how]
+    try:
+        while made.wall < began + HOUR or not ended and made.wall < began + 3 * HOUR:
+            made.step(S)
+            if made.wall == began:
+                made.ask("drain", drain="all", nodes=nodes, deadline_ms=began + HOUR)
+            if not ended and made.wall > began and made.phase("all") != "running":
+                ended = made.wall
+            for gang, row in list(made.state.part("gangs").items()):
+                if row.ends_ms <= made.wall:
+                    made.ask("gang_end", gang=gang)
+            if made.now // S % 5 == 0 and made.wall < began + HOUR:
+                lasts, some = chance.randint(60_000, 1_200_000), chance.sample(nodes, 2)
+                code, _ = made.ask(
+                    "gang", gang=f"j{made.now}", nodes=some, units=1, ends_ms=made.wall + lasts
+                )
+                asked += made.wall >= began
+                refused += made.wall >= began and code != 200
+    finally:
+        rules.cordon_for = kept
+    assert not made.broken
+    return refused / asked, (ended - began) / HOUR, made.waves
+
+
+def at_once(draft, nodes, deadline_ms):
+    return draft.wall_ms
+
+
+def at_deadline(draft, nodes, deadline_ms):
+    return deadline_ms
+
+
+def cordons():
+    for how in ("at once", "as it is", "at the deadline"):
+        found = [cordon(how, seed) for seed in range(5)]
+        refused, took, waves = (round(statistics.mean(one), 3) for one in zip(*found, strict=True))
+        tell(cordon=how, gang_starts_refused=refused, took_of_its_time=took, waves=waves)
+
+
+def looks(count):
+    """What a leader's look costs, by what happened before it, while a drain runs."""
+    made, nodes, chance = fleet(count, count, away=(10**6, 10**6))
+    free_of_gangs(made)
+    for _ in range(20):
+        made.step(S // 4)  # the first wave is given and goes down
+    rest = [name for name in nodes if name not in made.state.part("permits")]
+    took = {"promise": [], "report": []}
+    for turn in range(20):
+        made.now += S
+        made.ask("reserve", reservation=f"x{turn}", service="s", site="s0", units=1)
+        took["promise"].append(look_of(made))
+        made.ask("report", node=rest[turn], state="catching_up")
+        took["report"].append(look_of(made))
+    tell(
+        nodes=count,
+        look_after_promise_ms=round(1000 * statistics.median(took["promise"]), 2),
+        look_after_report_ms=round(1000 * statistics.median(took["report"]), 2),
+    )
+
+
+def look_of(made):
+    """Until the duty has nothing more to say."""
+    took, wanted = 0, True
+    while wanted is not None:
+        began = time.process_time()
+        wanted = made.duty.next(made.now, made.wall, made.state, made.follow)
+        took += time.process_time() - began
+        if wanted is not None:
+            made.apply(wanted)
+    return took
+
+
 def main():
     sizes = [int(one) for one in sys.argv[1:]] or SIZES
     beside_the_optimum()
     for count in sizes:
         for promised in (0.5, 0.85):
             planned(count, promised)
+    cordons()
+    for count in sizes:
+        looks(count)
     for count in sizes:
         calm, calm_s, _, took = whole_drain(count, False)
         ill, ill_s, refused, took_ill = whole_drain(count, True)
