--- a/lemonlead/ledger/state.py
+++ b/lemonlead/ledger/state.py
@@ -95,7 +95,9 @@
 
     def __init__(self, state, entry):
         self.state, self.term, self.index = state, entry.term, entry.index
-        self.moment, self.wall_ms = max(entry.moment, state.moment), max(entry.wall_ms, state.wall_ms)
+        self.moment = max(entry.moment, state.moment)
+        # As its leader read it: one that was ahead must not hold all later ones to its error.
+        self.wall_ms = entry.wall_ms or state.wall_ms
         self.parts, self.changes, self.terms = state.parts, {}, state.terms
 
     def part(self, name):
--- a/lemonlead/standins/installation.py
+++ b/lemonlead/standins/installation.py
@@ -12,7 +12,7 @@
 import re
 import threading
 import time
-from collections import Counter
+from collections import Counter, deque
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -27,6 +27,7 @@
 GATEWAY = re.compile(rb'gateway(?:=|": ?")([A-Za-z0-9_.-]+)')
 LENGTH = re.compile(rb"Content-Length: (\d+)", re.IGNORECASE)
 LANES = ("look", "look", "look", "hold", "buy")
+MOST_MOMENTS = 10_000
 OPERATOR_PAUSE = 0.02  # seconds between the commands of one operator
 
 
@@ -68,11 +69,10 @@
         self.name, self.site, self.random = name, site, random.Random(seed)
         self.members, self.stopped = Members(*addresses), threading.Event()
         self.held, self.open, self.counts, self.number = {}, set(), Counter(), 0
-        self.longest, self.last = 0.0, time.monotonic()  # seconds without an acknowledgement
+        self.moments = deque(maxlen=MOST_MOMENTS)  # of the last acknowledgements
         self.thread = threading.Thread(target=self.run, daemon=True)
 
     def start(self):
-        self.last = time.monotonic()
         self.thread.start()
         return self
 
@@ -91,8 +91,7 @@
             if answer is None:
                 continue
             self.open.discard(name)
-            now = time.monotonic()
-            self.longest, self.last = max(self.longest, now - self.last), now
+            self.moments.append(time.monotonic())
             self.counts[told["kind"], answer[0]] += 1
             if answer[0] == 200 and told["kind"] == "reserve":
                 self.held[name] = answer[1]["at"]
@@ -103,6 +102,11 @@
         self.stopped.set()
         self.thread.join(30)
 
+    def worst(self, since):
+        """The longest time without an acknowledgement from this moment on, in seconds."""
+        moments = [moment for moment in list(self.moments) if moment > since]
+        return max(b - a for a, b in zip([since, *moments], moments, strict=False)) if moments else 0.0
+
     def faults(self, reservations):
         """What of its own the ledger should have and has not, or the other way round."""
         mine = {name for name, held in reservations.items() if held["service"] == self.name} - self.open
--- a/tests/test_ledger_state.py
+++ b/tests/test_ledger_state.py
@@ -147,6 +147,14 @@
     assert after.moment == now.moment
 
 
+def test_a_wall_clock_that_was_ahead_is_right_again_with_the_next_leaders_word():
+    now = having(*FLEET)
+    ahead, _ = LEDGER.apply(now, Entry(now.index + 1, 1, COMMAND, now.moment, 1 << 50, b"{}"))
+    quiet, _ = LEDGER.apply(ahead, Entry(ahead.index + 1, 2, 0, now.moment, 0, b""))
+    after, _ = LEDGER.apply(quiet, Entry(quiet.index + 1, 2, COMMAND, now.moment, 7000, b"{}"))
+    assert (quiet.wall_ms, after.wall_ms, after.moment) == (1 << 50, 7000, now.moment)
+
+
 def test_a_name_that_was_seated_once_is_never_seated_again():
     now = having(*FLEET)
     for seats in ({"m1": Seat("h:1", "f1"), "m2": Seat("h:2", "f2")}, {"m1": Seat("h:1", "f1")}):
