--- a/benchmarks/followers.py
+++ b/benchmarks/followers.py
@@ -60,7 +60,7 @@
         self.names = [f"gw{number}" for number in range(gateways)]
         for name in self.names:
             self.command("follow", gateway=name)
-            self.desk.poll(self.now, self.desk.state.index, name, name)
+            self.poll(name, self.desk.state.index)
         self.settle()
         self.again()
 
@@ -80,12 +80,16 @@
         self.settle()
         assert self.door.answers[self.number] == 200
 
+    def poll(self, name, after):
+        since = self.desk.state.part("followers")[name].since
+        self.desk.poll(self.now, after, name, name, since)
+
     def again(self):
         """Each gateway that was told polls for what comes after that."""
         while self.door.told:
             told, self.door.told = self.door.told, []
             for name, at, _ in told:
-                self.desk.poll(self.now, at, name, name)
+                self.poll(name, at)
             self.settle()
 
     def change(self, number):
--- a/lemonlead/following/course.py
+++ b/lemonlead/following/course.py
@@ -44,13 +44,16 @@
         self.parts = list(STATE_PARTS)  # still to be had before events can be
         self.shunned = {}  # member: until when
         self.number, self.at = 1, 0  # of the next command; up to where all was obeyed
+        self.since = 0  # the entry that took it in: each poll names it
         self.counts = dict.fromkeys(("polls", "failures", "passes", "moves", "wholes", "older"), 0)
 
     # ---- inputs
 
-    def followed(self, now):
-        """The ledger took it in. What it holds of the state is taken anew: it may lack what came between."""
+    def followed(self, now, since):
+        """Entry `since` took it in. What it holds of the state is taken anew: it may lack what came
+        between."""
         self.worked()
+        self.since = since
         self.number += 1
         self.follows, self.parts = True, list(STATE_PARTS)
 
@@ -134,7 +137,7 @@
             return self.command(FOLLOW)
         if self.parts:
             return self.ask(STATE, "GET", f"/v1/state/{self.parts[0]}", part=self.parts[0])
-        return self.ask(EVENTS, "GET", f"/v1/events?after={self.at}&gateway={self.me}")
+        return self.ask(EVENTS, "GET", f"/v1/events?after={self.at}&gateway={self.me}&since={self.since}")
 
     def command(self, kind):
         """The same id until it is answered: done once, whichever members were asked."""
--- a/lemonlead/following/driver.py
+++ b/lemonlead/following/driver.py
@@ -113,18 +113,18 @@
             self.course.failed(now(), words.leader(told), told)
             return "passed on"
         if ask.what in (FOLLOW, UNFOLLOW):
-            return self.commanded(ask, status)
+            return self.commanded(ask, status, told)
         if ask.what == STATE and status in (400, 404) and ask.part != "nodes":
             told, status = {"at": 1 << 62, "items": {}}, 200  # a part that it does not show
         if status != 200:
             return f"status {status}"
         return self.state(ask, told) if ask.what == STATE else self.events(ask, told)
 
-    def commanded(self, ask, status):
+    def commanded(self, ask, status, told):
         if ask.what == UNFOLLOW and status in (200, 400, 409):
             self.course.unfollowed()
         elif status == 200:
-            self.course.followed(now())
+            self.course.followed(now(), words.whole_number(told, "at"))
         elif status in (400, 409):
             self.log.warning("ledger refused", what=ask.what, status=status)
             self.counters.add("ledger follows refused")
--- a/lemonlead/ledger/desk.py
+++ b/lemonlead/ledger/desk.py
@@ -124,15 +124,19 @@
     def read(self, now, ticket):
         self.replica.read(now, Read(ticket))
 
-    def poll(self, now, after, gateway, ticket):
+    def poll(self, now, after, gateway, ticket, since=0):
         """The changes after an index. A `gateway` (its name, or empty) that polls has obeyed all up to it;
-        it is the leader that hears it."""
+        it is the leader that hears it. `since`: the index that its `follow` was answered at. Of another stay
+        than the ledger's, a poll tells nothing: it may be a late one of an earlier process of that name."""
         if gateway:
             if self.replica.role != LEADER:
                 leader = self.replica.leader
                 return self.done.append(lambda door: door.polled(ticket, None, 0, None, leader))
-            if (row := self.state.part("followers").get(gateway)) is not None:
-                self.followers.polled(now, gateway, after, row.since)
+            row = self.state.part("followers").get(gateway)
+            if row is not None and row.since == since:
+                self.followers.polled(now, gateway, after, since)
+            else:
+                self.count("polls of another stay")
         until = now + POLL if len(self.polls) < MOST_POLLS else now
         self.polls.append(Poll(until, after, ticket))
 
--- a/lemonlead/member/host.py
+++ b/lemonlead/member/host.py
@@ -63,10 +63,10 @@
         self.add(self.desk.read, ticket)
         return ticket
 
-    def poll(self, after, gateway):
+    def poll(self, after, gateway, since=0):
         """The future of (events, at, state, leader)."""
         ticket = self.loop.create_future()
-        self.add(self.desk.poll, after, gateway, ticket)
+        self.add(self.desk.poll, after, gateway, ticket, since)
         return ticket
 
     def written(self, number, state=None):
--- a/lemonlead/member/outside.py
+++ b/lemonlead/member/outside.py
@@ -225,14 +225,16 @@
             return answer(200, head[:-1], b',"items":', await rows(whole.shown(state, name)), b"}")
 
     async def events(self, request):
-        after, gateway = number(request, "after"), request.query.get("gateway", "")
+        after, since = number(request, "after"), number(request, "since")
+        gateway = request.query.get("gateway", "")
         if len(gateway) > 100:
             raise Senseless("the gateway's name is longer than 100 letters")
         if self.polls >= MOST_POLLS:
             self.counts["calls_turned_away"] += 1
             raise TooMany(f"{MOST_POLLS} calls wait for events")
         with self.counted("polls"):
-            events, at, state, leader = await self.within(self.host.poll(after, gateway), NOT_DONE)
+            asked = self.host.poll(after, gateway, since)
+            events, at, state, leader = await self.within(asked, NOT_DONE)
         if events is None and state is None:
             return await self.pass_on(request, leader)
         if events is not None:
--- a/lemonlead/standins/followed.py
+++ b/lemonlead/standins/followed.py
@@ -77,9 +77,9 @@
                 return 404, {}
             return 200, {"at": self.at, "items": self.parts[part], "moment": self.moment}
 
-    def news(self, after, gateway):
+    def news(self, after, gateway, since):
         with self.changed:
-            if gateway:
+            if self.parts["followers"].get(gateway, {}).get("since") == since:
                 self.polls[gateway] = max(after, self.polls.get(gateway, -1))
             self.counts["polls"] += 1
             self.changed.notify_all()
@@ -127,7 +127,7 @@
         if path.startswith("/v1/state/"):
             return self.ledger.state(path.rsplit("/", 1)[1])
         told = dict(pair.split("=") for pair in path.partition("?")[2].split("&"))
-        return self.ledger.news(int(told["after"]), told.get("gateway", ""))
+        return self.ledger.news(int(told["after"]), told.get("gateway", ""), int(told.get("since", 0)))
 
 
 def whole(status, told, spoil=False):
--- /dev/null
+++ b/tests/test_desk.py
@@ -0,0 +1,93 @@
+"""A member's desk by itself, as the only member of a cluster: its disk is at once, or when a test says."""
+
+import msgspec
+
+from lemonlead.ledger.desk import Desk
+from lemonlead.ledger.records import LEADER, Kept, Seat, Told
+from lemonlead.ledger.seating import Terms, formed
+from lemonlead.member import whole
+
+MS = 1_000_000
+
+
+class Door:
+    """Writes down what it is asked, in order."""
+
+    def __init__(self):
+        self.asked, self.writes, self.answers, self.told = [], [], {}, {}
+
+    def write(self, write):
+        self.writes.append(write)
+        self.asked.append(("write", write.entries[-1].index if write.entries else 0))
+
+    def snapshot(self, state, base):
+        self.asked.append(("snapshot", base.index))
+
+    def answer(self, ticket, code, body):
+        self.answers[ticket] = code, body
+
+    def polled(self, ticket, events, at, state, leader):
+        self.told[ticket] = events, at, state
+
+    def nothing(self, *_):
+        pass
+
+    send = send_part = take_part = readable = call = nothing
+
+
+class World:
+    def __init__(self, **more):
+        state, base = formed({"g1": Seat("h:1", "f1")}, Terms())
+        told = Told(cluster="c", name="g1", folder="f1", seed=1)
+        self.now, self.door, self.number = 1, Door(), 0
+        self.desk = Desk(told, Kept(term=1, base=base), whole.ledger(), state, self.now, **more)
+        while self.desk.replica.role != LEADER:
+            self.passes(max(self.desk.wake_at() - self.now, MS))
+        self.command("node", node="n1", site="s", units=5)
+
+    def decided(self):
+        while self.desk.decide(self.now, self.door):
+            pass
+
+    def passes(self, time=0):
+        """So much time, and all that there is to do until no write is out."""
+        self.now += time
+        self.desk.told_time(self.now, self.now // MS)
+        self.decided()
+        while self.door.writes:
+            self.desk.written(self.now, self.door.writes.pop(0).number)
+            self.decided()
+
+    def propose(self, kind, **fields):
+        self.number += 1
+        data = msgspec.json.encode({"id": f"t/{self.number}", "kind": kind, **fields})
+        self.desk.command(self.now, data, self.number)
+
+    def command(self, kind, **fields):
+        """The index that it was done at."""
+        self.propose(kind, **fields)
+        self.passes()
+        code, body = self.door.answers[self.number]
+        assert code == 200
+        return body["at"]
+
+    def poll(self, ticket, after, gateway="", **more):
+        self.desk.poll(self.now, after, gateway, ticket, **more)
+        self.passes()
+        return self.door.told.get(ticket)
+
+    def waits_for(self, index):
+        return self.desk.followers.waited_for(self.now, self.desk.state, index)
+
+
+def test_a_late_poll_of_an_earlier_process_of_that_name_counts_for_nothing():
+    world = World()
+    earlier = world.command("follow", gateway="gw")
+    later = world.command("follow", gateway="gw")
+    index = world.command("node", node="n2", site="s", units=5)
+    for stay in ({"since": earlier}, {}, {"since": index + 9}):
+        world.poll("late", index, "gw", **stay)
+        assert world.waits_for(index) == ["gw"]
+    world.poll("its own", index, "gw", since=later)
+    assert world.waits_for(index) == []
+    assert world.desk.counts["polls of another stay"] == 3
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -257,13 +257,13 @@
 def test_it_asks_to_be_waited_for_before_it_takes_the_state_and_then_polls_from_there():
     made = course()
     assert made.next(NOW).what == FOLLOW
-    made.followed(NOW)
+    made.followed(NOW, 40)
     asked = []
     while (ask := made.next(NOW)).what == STATE:
         asked.append(ask.part)
         made.had(ask.part)
     made.obeyed(NOW, 41)
-    assert asked == ["permits", "nodes"] and made.next(NOW).path == "/v1/events?after=41&gateway=g0"
+    assert asked == ["permits", "nodes"] and made.next(NOW).path == "/v1/events?after=41&gateway=g0&since=40"
 
 
 def test_the_same_id_is_repeated_until_it_is_answered_and_never_used_again():
@@ -273,7 +273,7 @@
     assert made.next(NOW) is None
     again = made.next(made.not_before)
     assert json.loads(again.body) == first and again.member != "m0"
-    made.followed(NOW)
+    made.followed(NOW, 40)
     made.forgotten()
     assert json.loads(made.next(made.not_before).body)["id"] != first["id"]
 
@@ -313,7 +313,7 @@
 
 def test_an_answer_that_cannot_be_read_has_the_state_asked_for_in_parts():
     made = course()
-    made.followed(NOW)
+    made.followed(NOW, 40)
     made.parts.clear()
     made.failed(NOW, unread=True)
     assert made.next(made.not_before).what == STATE
@@ -328,7 +328,7 @@
 
 def test_at_the_end_it_asks_not_to_be_waited_for_and_then_nothing_more():
     made = course()
-    made.followed(NOW)
+    made.followed(NOW, 40)
     made.failed(NOW)
     made.leave(NOW)
     assert made.next(NOW).what == UNFOLLOW
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -107,10 +107,12 @@
 
 
 def test_a_gateways_call_for_events_counts_at_the_leader_from_any_member(trio):
-    assert trio.done(id="gw/1", kind="follow", gateway="gw1")[0] == 200
+    code, followed = trio.done(id="gw/1", kind="follow", gateway="gw1")
+    assert code == 200
     at = trio.status(trio.wait_leader())["applied"]
     for name in trio.forming:
-        code, told = trio.ask(name, "GET", f"/v1/events?after={at - 1}&gateway=gw1")
+        path = f"/v1/events?after={at - 1}&gateway=gw1&since={followed['at']}"
+        code, told = trio.ask(name, "GET", path)
         assert code == 200 and told["at"] >= at and told["leader"] == trio.wait_leader()
 
 
@@ -146,6 +148,7 @@
         ("GET", "/v1/events?after=-1", 400),
         ("GET", "/v1/events?after=" + "9" * 30, 400),
         ("GET", "/v1/events?after=%C2%B2", 400),
+        ("GET", "/v1/events?after=1&gateway=g&since=x", 400),
         ("GET", "/v1/events?after=1&gateway=" + "g" * 200, 400),
         ("GET", "/nothing", 404),
         ("POST", "/v1/status", 405),
