--- a/lemonlead/following/course.py
+++ b/lemonlead/following/course.py
@@ -8,7 +8,7 @@
 import random
 from dataclasses import dataclass
 
-from .words import pause
+from .words import ASKED, pause
 
 MS = 1_000_000
 SHORTEST, LONGEST = 50 * MS, 2000 * MS  # waits after failures; half to the whole of it
@@ -137,7 +137,8 @@
             return self.command(FOLLOW)
         if self.parts:
             return self.ask(STATE, "GET", f"/v1/state/{self.parts[0]}", part=self.parts[0])
-        return self.ask(EVENTS, "GET", f"/v1/events?after={self.at}&gateway={self.me}&since={self.since}")
+        path = f"/v1/events?after={self.at}&gateway={self.me}&since={self.since}&parts={','.join(ASKED)}"
+        return self.ask(EVENTS, "GET", path)
 
     def command(self, kind):
         """The same id until it is answered: done once, whichever members were asked."""
--- a/lemonlead/following/words.py
+++ b/lemonlead/following/words.py
@@ -7,6 +7,7 @@
 from .faults import Unreadable
 
 PARTS = ("nodes", "permits", "followers", "members")  # what a gateway heeds; all else is passed over
+ASKED = (*PARTS, "moves")  # a stage of a move waits until gateways acknowledge it: its change wakes a poll
 MOST = 200_000  # records of one part, as in the ledger
 
 
--- a/lemonlead/ledger/desk.py
+++ b/lemonlead/ledger/desk.py
@@ -42,9 +42,9 @@
         had."""
 
     def polled(self, ticket, events, at: int, state: State | None, leader: str) -> None:
-        """The one answer to a `poll`. `events`: list of (index, {(part, key): record or None}) up to `at`;
-        where they are kept no more, None and the whole `state`; both None where another member, `leader`,
-        has to be asked."""
+        """The one answer to a `poll`. `events`: list of (index, {(part, key): record or None}) up to `at`, of
+        the parts asked for; where they are kept no more, None and the whole `state`; both None where another
+        member, `leader`, has to be asked."""
 
     def snapshot(self, state: State, base: Base) -> None:
         """To be brought to disk without stopping anything; then `Desk.snapshot_kept(now, base)`."""
@@ -80,6 +80,7 @@
     until: int
     after: int
     ticket: object
+    parts: tuple  # that it asks for; empty for all
 
 
 class Desk:
@@ -89,6 +90,7 @@
         self.wall_ms, self.now, self.snapshot_every = 0, now, snapshot_every
         self.events, self.earliest = deque(), state.index  # what came after `earliest` is in `events`
         self.held = 0  # changes in `events`
+        self.touched = {}  # part to the entry that changed it last, since this desk began
         self.polls, self.done = [], []  # calls that wait; answers that are ready: functions of the door
         self.codes = {}  # index to (code, body) of entries applied in this turn
         self.proposing = {}  # duty to the moment from which it may propose again; NEVER while one is out
@@ -124,10 +126,11 @@
     def read(self, now, ticket):
         self.replica.read(now, Read(ticket))
 
-    def poll(self, now, after, gateway, ticket, since=0):
-        """The changes after an index. A `gateway` (its name, or empty) that polls has obeyed all up to it;
-        it is the leader that hears it. `since`: the index that its `follow` was answered at. Of another stay
-        than the ledger's, a poll tells nothing: it may be a late one of an earlier process of that name."""
+    def poll(self, now, after, gateway, ticket, since=0, parts=()):
+        """The changes after an index, of these parts or of all; the next of another part wakes nobody. A
+        `gateway` (its name, or empty) that polls has obeyed all up to it; it is the leader that hears it.
+        `since`: the index that its `follow` was answered at. Of another stay than the ledger's, a poll tells
+        nothing: it may be a late one of an earlier process of that name."""
         if gateway:
             if self.replica.role != LEADER:
                 leader = self.replica.leader
@@ -138,7 +141,7 @@
             else:
                 self.count("polls of another stay")
         until = now + POLL if len(self.polls) < MOST_POLLS else now
-        self.polls.append(Poll(until, after, ticket))
+        self.polls.append(Poll(until, after, ticket, parts))
 
     def written(self, now, number, state=None):
         """`state`: that of the snapshot which this write put in force, where it did."""
@@ -176,25 +179,32 @@
 
     def answer_polls(self, now, door):
         for poll in self.polls:
-            if poll.after < self.state.index and self.news(poll.after) or poll.until <= now:
+            if poll.until <= now or self.changed(poll):
                 self.polls.remove(poll)
                 at, leader = self.state.index, self.replica.leader
                 if poll.after < self.earliest:
                     door.polled(poll.ticket, None, at, self.state, leader)
                 else:
-                    door.polled(poll.ticket, self.news(poll.after), at, None, leader)
+                    door.polled(poll.ticket, self.news(poll), at, None, leader)
                 return True
         return False
 
-    def news(self, after):
-        """Changes after an index; any answer at all where they are kept no more."""
-        if after < self.earliest:
-            return [(self.state.index, {})]
-        found = []
+    def changed(self, poll):
+        """Whether there is news for it, or what it asks for is kept no more."""
+        if poll.after < self.earliest:
+            return True
+        return any(self.touched.get(part, 0) > poll.after for part in poll.parts or self.touched)
+
+    def news(self, poll):
+        """Changes after its index, of the parts that it asks for."""
+        found, parts = [], poll.parts
         for index, changes in reversed(self.events):
-            if index <= after:
+            if index <= poll.after:
                 break
-            found.append((index, changes))
+            if parts:
+                changes = {key: record for key, record in changes.items() if key[0] in parts}
+            if changes:
+                found.append((index, changes))
         return found[::-1]
 
     def take_snapshot(self, door):
@@ -246,6 +256,7 @@
             if applied.changes and applied.code == 200:
                 self.events.append((entry.index, applied.changes))
                 self.held += len(applied.changes)
+                self.touched.update((part, entry.index) for part, _ in applied.changes)
         while self.held > MOST_EVENTS:
             self.earliest, changes = self.events.popleft()
             self.held -= len(changes)
--- a/lemonlead/member/host.py
+++ b/lemonlead/member/host.py
@@ -63,10 +63,10 @@
         self.add(self.desk.read, ticket)
         return ticket
 
-    def poll(self, after, gateway, since=0):
+    def poll(self, after, gateway, since=0, parts=()):
         """The future of (events, at, state, leader)."""
         ticket = self.loop.create_future()
-        self.add(self.desk.poll, after, gateway, ticket, since)
+        self.add(self.desk.poll, after, gateway, ticket, since, parts)
         return ticket
 
     def written(self, number, state=None):
--- a/lemonlead/member/outside.py
+++ b/lemonlead/member/outside.py
@@ -207,9 +207,7 @@
 
     async def state(self, request):
         name, host = request.match_info["part"], self.host
-        kinds = host.desk.ledger.kinds
-        if name not in kinds:
-            raise Senseless(f"no part {name[:100]!r}: there are {', '.join(sorted(kinds))}")
+        self.known(name)
         more = {}
         if request.query.get("read") == "local":
             state = host.desk.state
@@ -226,14 +224,14 @@
 
     async def events(self, request):
         after, since = number(request, "after"), number(request, "since")
-        gateway = request.query.get("gateway", "")
+        gateway, parts = request.query.get("gateway", ""), self.parts(request)
         if len(gateway) > 100:
             raise Senseless("the gateway's name is longer than 100 letters")
         if self.polls >= MOST_POLLS:
             self.counts["calls_turned_away"] += 1
             raise TooMany(f"{MOST_POLLS} calls wait for events")
         with self.counted("polls"):
-            asked = self.host.poll(after, gateway, since)
+            asked = self.host.poll(after, gateway, since, parts)
             events, at, state, leader = await self.within(asked, NOT_DONE)
         if events is None and state is None:
             return await self.pass_on(request, leader)
@@ -243,8 +241,23 @@
             return answer(200, {"at": at, "moment": moment, "leader": leader, "events": told})
         async with self.whole:
             head = ENCODE({"at": at, "moment": state.moment, "leader": leader})[:-1] + b',"whole":{'
-            parts = [ENCODE(name) + b":" + await rows(part) for name, part in sorted(state.parts.items())]
-            return answer(200, head, b",".join(parts), b"}}")
+            names = [name for name in sorted(state.parts) if not parts or name in parts]
+            told = [ENCODE(name) + b":" + await rows(state.parts[name]) for name in names]
+            return answer(200, head, b",".join(told), b"}}")
+
+    def parts(self, request):
+        """Those that the call names, comma between; empty for all."""
+        if "parts" not in request.query:
+            return ()
+        parts = tuple(request.query["parts"].split(","))
+        for name in parts:
+            self.known(name)
+        return parts
+
+    def known(self, part):
+        kinds = self.host.desk.ledger.kinds
+        if part not in kinds:
+            raise Senseless(f"no part {part[:100]!r}: there are {', '.join(sorted(kinds))}")
 
     async def status(self, request):
         host, member = self.member.host, self.member
--- a/lemonlead/standins/followed.py
+++ b/lemonlead/standins/followed.py
@@ -77,21 +77,24 @@
                 return 404, {}
             return 200, {"at": self.at, "items": self.parts[part], "moment": self.moment}
 
-    def news(self, after, gateway, since):
+    def news(self, after, gateway, since, parts=()):
         with self.changed:
             if self.parts["followers"].get(gateway, {}).get("since") == since:
                 self.polls[gateway] = max(after, self.polls.get(gateway, -1))
             self.counts["polls"] += 1
             self.changed.notify_all()
-            self.changed.wait_for(lambda: self.at > after, POLL)
+
+            def some():
+                return [
+                    {"index": index, "changes": [{"part": part, "key": key, "record": record}]}
+                    for index, part, key, record in self.events
+                    if index > after and part in (parts or self.parts)
+                ]
+
+            self.changed.wait_for(lambda: self.at > after and (after < self.kept or some()), POLL)
             if after < self.kept:
                 return 200, {"at": self.at, "whole": True}
-            some = [
-                {"index": index, "changes": [{"part": part, "key": key, "record": record}]}
-                for index, part, key, record in self.events
-                if index > after
-            ]
-            return 200, {"at": self.at, "events": some, "moment": self.moment}
+            return 200, {"at": self.at, "events": some(), "moment": self.moment}
 
 
 class MemberServer(Server):
@@ -127,7 +130,8 @@
         if path.startswith("/v1/state/"):
             return self.ledger.state(path.rsplit("/", 1)[1])
         told = dict(pair.split("=") for pair in path.partition("?")[2].split("&"))
-        return self.ledger.news(int(told["after"]), told.get("gateway", ""), int(told.get("since", 0)))
+        parts = told["parts"].split(",") if "parts" in told else ()
+        return self.ledger.news(int(told["after"]), told.get("gateway", ""), int(told.get("since", 0)), parts)
 
 
 def whole(status, told, spoil=False):
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from lemonlead.ledger.desk import Desk
+from lemonlead.ledger import desk
+from lemonlead.ledger.desk import POLL, Desk
 from lemonlead.ledger.records import LEADER, Kept, Seat, Told
 from lemonlead.ledger.seating import Terms, formed
 from lemonlead.member import whole
@@ -91,3 +92,31 @@
     world.poll("its own", index, "gw", since=later)
     assert world.waits_for(index) == []
     assert world.desk.counts["polls of another stay"] == 3
+
+
+def test_a_call_for_parts_is_woken_by_them_alone_and_the_index_moves_on_all_the_same():
+    world = World()
+    at = world.desk.state.index
+    world.poll("all", at)
+    assert world.poll("nodes", at, parts=("nodes", "permits")) is None
+    held = world.command("reserve", reservation="r", service="s", units=1, nodes=["n1"])
+    assert [index for index, _ in world.door.told["all"][0]] == [held]
+    assert "nodes" not in world.door.told
+    node = world.command("node", node="n2", site="s", units=5)
+    events, upto, _ = world.door.told["nodes"]
+    assert [(index, {part for part, _ in told}) for index, told in events] == [(node, {"nodes"})]
+    assert upto == node
+    gone = world.command("free", reservation="r")
+    assert world.poll("again", node, parts=("nodes",)) is None
+    world.passes(POLL)
+    assert world.door.told["again"][:2] == ([], gone)
+
+
+def test_a_call_for_parts_after_what_is_kept_no_more_gets_the_whole_at_once(monkeypatch):
+    monkeypatch.setattr(desk, "MOST_EVENTS", 1)
+    world = World()
+    at = world.desk.state.index
+    for name in ("a", "b", "c"):
+        world.command("reserve", reservation=name, service="s", units=1, nodes=["n1"])
+    events, upto, state = world.poll("behind", at, parts=("nodes",))
+    assert events is None and state.index == upto == at + 3
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -263,7 +263,9 @@
         asked.append(ask.part)
         made.had(ask.part)
     made.obeyed(NOW, 41)
-    assert asked == ["permits", "nodes"] and made.next(NOW).path == "/v1/events?after=41&gateway=g0&since=40"
+    parts = "nodes,permits,followers,members,moves"
+    polls = f"/v1/events?after=41&gateway=g0&since=40&parts={parts}"
+    assert asked == ["permits", "nodes"] and made.next(NOW).path == polls
 
 
 def test_the_same_id_is_repeated_until_it_is_answered_and_never_used_again():
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -101,6 +101,10 @@
         assert code == 200 and rows == list(zip(answers, ["n201", "n202", "n203"], strict=True))
         code, told = trio.ask(name, "GET", "/v1/state/nodes?read=local")
         assert code == 200 and 0 <= told["age_ms"] < 5000 and told["items"]["n203"]["units"] == 203
+    for path, kept in ((f"/v1/events?after={before}", True), ("/v1/events?after=0", False)):
+        code, told = trio.ask("g1", "GET", f"{path}&parts=nodes,permits")
+        parts = {c["part"] for e in told["events"] for c in e["changes"]} if kept else {*told["whole"]}
+        assert code == 200 and parts == {"nodes"}
     began = time.monotonic()
     code, told = trio.ask("g1", "GET", "/v1/events?after=1000000")
     assert (code, told["events"]) == (200, []) and 1 < time.monotonic() - began < 10
@@ -149,6 +153,8 @@
         ("GET", "/v1/events?after=" + "9" * 30, 400),
         ("GET", "/v1/events?after=%C2%B2", 400),
         ("GET", "/v1/events?after=1&gateway=g&since=x", 400),
+        ("GET", "/v1/events?after=1&parts=nodes,nothing", 400),
+        ("GET", "/v1/events?after=1&parts=", 400),
         ("GET", "/v1/events?after=1&gateway=" + "g" * 200, 400),
         ("GET", "/nothing", 404),
         ("POST", "/v1/status", 405),
