--- a/lemonlead/member/host.py
+++ b/lemonlead/member/host.py
@@ -205,7 +205,7 @@
         self.shelf.write(write, self)
 
     def send_part(self, peer, message, most):
-        self.shelf.send_part(message, most, self.peers.send)
+        self.shelf.send_part(message, most, self.peers.send, self)
 
     def take_part(self, message):
         self.shelf.take_part(message, self)
--- a/lemonlead/member/shelf.py
+++ b/lemonlead/member/shelf.py
@@ -37,11 +37,11 @@
     def take_part(self, message, host):
         self.add(self.take, message, host)
 
-    def send_part(self, message, most, send):
+    def send_part(self, message, most, send, host):
         if len(self.jobs) >= MOST_JOBS:
             self.counts["parts_dropped"] += 1
         else:
-            self.add(self.part, message, most, send)
+            self.add(self.part, message, most, send, host)
 
     def snapshot(self, state, base, host):
         self.add(self.keep, state, base, host)
@@ -134,12 +134,11 @@
                 self.tell(host.snapshot_kept, base)
             yield True
 
-    def part(self, message, most, send):
-        """Nothing where that base is in force no more: the replica has another by then."""
-        try:
-            found = self.folder.part(message.base, message.offset, most)
-        except Exception:  # a folder that failed: whoever writes to it is told
-            found = None
+    def part(self, message, most, send, host):
+        """Nothing where that base is in force no more: the replica has another by then. A snapshot that is
+        found damaged is a failed disk: the state that a restart would begin from is gone, and so may be the
+        rest."""
+        found = self.guarded(host, self.folder.part, message.base, message.offset, most)
         if found is None:
             self.counts["parts_dropped"] += 1
         else:
--- a/tests/test_member_parts.py
+++ b/tests/test_member_parts.py
@@ -1,14 +1,16 @@
 """The parts of a member's process by themselves: waits, queues, the disk's thread, turns, calls."""
 
 import asyncio
+import sqlite3
 import threading
 from pathlib import Path
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import pytest
 
 from lemonlead.ledger.faults import Fault, Unusable
-from lemonlead.ledger.records import Base, Seat, Write
+from lemonlead.ledger.records import Base, Part, Seat, Write
 from lemonlead.ledger.seating import first_base
 from lemonlead.ledger.waits import Waits
 from lemonlead.member import faults, peers, run
@@ -105,6 +107,9 @@
         return None
 
 
+PART = Part("c", "g1", "f1", "g2", "f2", 1, base=Base(9, 1))
+
+
 class Told:
     """A host that is told: each call as (its name, its arguments)."""
 
@@ -186,6 +191,30 @@
     assert [call[0] for call in host.calls].count("snapshot_kept") == 1
 
 
+@pytest.mark.parametrize("error", [faults.Damaged("a piece"), sqlite3.OperationalError("io")])
+def test_a_snapshot_found_damaged_as_a_peer_is_sent_it_is_told_and_no_more_is_written(shelf, error):
+    folder, host, sent = Folder(), Told(), []
+    folder.go.set()
+    folder.part = Mock(side_effect=error)
+    one = shelf(folder)
+    for _ in range(2):
+        one.send_part(PART, 100, sent.append, host)
+    one.write(Write(1, 1, ""), host)
+    one.end(10)
+    assert [call[0] for call in host.calls] == ["disk_failed"] and str(error) in host.calls[0][1]
+    assert (sent, folder.asked, one.counts["parts_dropped"]) == ([], [], 2)
+
+
+def test_a_part_of_a_snapshot_that_is_in_force_no_more_is_dropped_and_nothing_else(shelf):
+    folder, host, sent = Folder(), Told(), []
+    folder.go.set()
+    one = shelf(folder)
+    one.send_part(PART, 100, sent.append, host)
+    one.write(Write(1, 1, ""), host)
+    host.wait(1)
+    assert (host.calls, sent, one.counts["parts_dropped"]) == ([("written", 1)], [], 1)
+
+
 # ---- turns of the loop
 
 
