--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -53,6 +53,13 @@
     assert (ballot.to, ballot.term, ballot.given) == ("b", 2, True)
 
 
+def test_a_vote_in_a_term_that_is_on_disk_already_waits_for_it_too():
+    replica, host = made(term=2), Host()
+    assert heard(replica, canvass(), host=host, sync=False) == []
+    replica.written(NOW, host.writes[0].number)
+    assert [one.given for one in host.pull(replica, NOW)] == [True]
+
+
 @pytest.mark.parametrize(
     "second, given", [(canvass("c"), False), (canvass("b"), True), (canvass("c", term=3), True)]
 )
@@ -442,6 +449,21 @@
     assert replica.counts["stepped down: slow disk"] == 1
 
 
+def test_nothing_is_applied_that_the_disk_was_not_given():
+    """Else a snapshot could reach the disk before entries that it stands for."""
+    replica, host, now = leading()
+    for ticket in range(9):
+        replica.propose(now, 0, b"{}", ticket)
+        host.pull(replica, now, sync=False)
+    assert (len(host.writes), replica.paper.given) == (4, 6)
+    ack(replica, now, "b")
+    ack(replica, now, "c")
+    host.pull(replica, now, sync=False)
+    assert (replica.committed, replica.applied, len(host.ends)) == (11, 6, 4)
+    host.pull(replica, now)
+    assert (replica.applied, len(host.ends)) == (11, 9)
+
+
 # ---- bounds and refusals
 
 
@@ -686,11 +708,13 @@
     if state != "before one of its term":
         ack(replica, now, "b")
         ack(replica, now, "c")
+    more = "d"
     if state == "another under way":
-        replica.change(now, seats("ab"), "first")
+        replica.change(now, seats("abcd", "d"), "first")
+        more = "de"
     if state == "handing over":
         replica.hand_over(now)
-    replica.change(now, seats("abcd", "d"), "t")
+    replica.change(now, seats("abc" + more, more), "t")
     host.pull(replica, now)
     if state == "open":
         assert replica.seats == seats("abcd", "d")  # effective when appended
