--- a/lemonlead/standins/simulated/checks.py
+++ b/lemonlead/standins/simulated/checks.py
@@ -24,6 +24,7 @@
     def started(self, host): ...
     def wiped(self, host): ...
     def wrote(self, host, write): ...
+    def kept(self, host, base): ...
     def synced(self, cluster, disk): ...
     def sent(self, host, message): ...
     def answered(self, host, ticket, code, body): ...
@@ -62,9 +63,18 @@
         self.voters[folder] = [self.members(folder)]
         self.synced(self.cluster, host.disk)
 
+    def kept(self, host, base):
+        """A snapshot of its own: the disk, which does all in order, has to have that entry by then."""
+        log, held = self.logs[host.disk.folder], self.bases[host.disk.folder]
+        entry = log.get(base.index)
+        if base.index > max(log, default=held.index) or entry is not None and entry.term != base.term:
+            self.broken(f"{host.name} keeps a snapshot as of {base.index}, which its disk was not given")
+
     def wrote(self, host, write):
         folder = host.disk.folder
         log = self.logs[folder]
+        if write.entries and write.entries[0].index <= host.desk.state.index:
+            self.broken(f"{host.name} applied entry {write.entries[0].index} before its disk was given it")
         if write.base is not None:
             for index in [index for index in log if index <= write.base.index]:
                 del log[index]
--- a/lemonlead/standins/simulated/hosts.py
+++ b/lemonlead/standins/simulated/hosts.py
@@ -291,6 +291,7 @@
         host.disk.submit(Work(write, snapshot=snapshot, done=done))
 
     def snapshot(self, state, base):
+        self.tell("kept", base)
         host, life = self.host, self.host.life
 
         def done():
--- a/tests/test_simulated.py
+++ b/tests/test_simulated.py
@@ -7,7 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lemonlead.ledger import log
 from lemonlead.ledger.records import Append, Base, Entry, Write
+from lemonlead.ledger.replica import Replica
 from lemonlead.standins.simulated.disks import Disk, Held, Work
 from lemonlead.standins.simulated.history import NEVER, UNKNOWN, Seen, Undecided, first_wrong
 from lemonlead.standins.simulated.network import Network, garble, packed, unpacked
@@ -222,3 +224,21 @@
 def test_each_trouble_by_itself_breaks_nothing(kind):
     troubles = tuple(Trouble(at, kind, whom, 1500, at) for at, whom in ((800, 0), (3900, 1), (5600, 0)))
     stands(Schedule(KINDS[kind][0], 3, troubles))
+
+
+@pytest.mark.parametrize("seed, says", [(11, "before its disk was given it"), (4, "keeps a snapshot as of")])
+def test_entries_applied_before_the_disk_was_given_them_are_caught(monkeypatch, seed, says):
+    """One Write out at a time, so that entries often wait for the one before."""
+    monkeypatch.setattr(log, "MOST_WRITES", 1)
+    assert play(draw(seed)).broken is None
+    rightly = Replica.commit
+
+    def at_once(self, now, door):
+        given, self.paper.given = self.paper.given, self.log.last
+        try:
+            return rightly(self, now, door)
+        finally:
+            self.paper.given = given
+
+    monkeypatch.setattr(Replica, "commit", at_once)
+    assert says in str(play(draw(seed)).broken)
