--- a/lemonlead/member/asking.py
+++ b/lemonlead/member/asking.py
@@ -10,6 +10,7 @@
 from ..ledger.seating import Greeting
 
 SENDER = "X-Lemonlead-Member"  # the name of the member that asks
+REACHED = "X-Lemonlead-Reached"  # where the member that sends messages is reached
 HOP = "X-Lemonlead-Hop"  # set on what a member passes on: it is not passed on again
 MOST_ANSWER = 1024 * 1024  # bytes of an answer that is read whole
 MOST_CALLS = 64  # to other clusters at once; past it a duty is told that none answered
--- a/lemonlead/member/outside.py
+++ b/lemonlead/member/outside.py
@@ -14,7 +14,8 @@
 from ..ledger.records import CANDIDATE, FOLLOWER, LEADER, LEARNER, NOT_DONE, OUTSIDE, UNKNOWN
 from ..ledger.state import LONGEST
 from . import peers, whole
-from .asking import HOP
+from .asking import HOP, REACHED
+from .forming import numeric
 from .faults import Late, NoLeader, NotNow, Outside, TooMany, Undecided
 
 MOST_CALLS = 2000  # being answered at once, beside those of peers; past it 503
@@ -313,7 +314,8 @@
             some = peers.DECODE(data)
         except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
             raise Senseless(f"no messages: {str(error)[:200]}") from None
-        return web.Response(status=self.member.heard(some))
+        address = request.headers.get(REACHED, "")
+        return web.Response(status=self.member.heard(some, address if numeric(address) else ""))
 
     async def form(self, request):
         if self.member.host is not None:
--- a/lemonlead/member/peers.py
+++ b/lemonlead/member/peers.py
@@ -12,26 +12,28 @@
 
 from ..ledger.records import PeerMessage
 from ..ledger.waits import Waits
-from .asking import session
+from .asking import REACHED, session
 
 MOST_QUEUED = 512  # messages to one peer
 MOST_QUEUED_BYTES = 16 * 1024 * 1024
 MOST_BATCH = 1024 * 1024  # bytes of one batch, one message at least
 LONGEST = 8 * 1024 * 1024  # bytes of a batch that is read
-MOST_PEERS = 32  # queues; past it those without a seat go
+MOST_PEERS = 32  # queues, and addresses heard of; past it those without a seat go
 
 ENCODE = msgspec.msgpack.Encoder().encode
 DECODE = msgspec.msgpack.Decoder(list[PeerMessage]).decode
 
 
 class Peers:
-    """`address(name)`: host:port of a member, None where it has no seat. `unformed(name)`: that peer sits in
-    the cluster and says that its folder is empty."""
+    """`seated(name)`: host:port of a member, None where it has no seat. `unformed(name)`: that peer sits in
+    the cluster and says that its folder is empty. `reached`: where this member itself is."""
 
-    def __init__(self, name, listen, times, seed, address, unformed):
-        self.times, self.seed, self.address, self.unformed = times, seed, address, unformed
+    def __init__(self, name, listen, reached, times, seed, seated, unformed):
+        self.times, self.seed, self.seated, self.unformed = times, seed, seated, unformed
+        self.said = {}  # name to the address that it gave with its messages
         time_out = aiohttp.ClientTimeout(total=max(2 * times.election / 1e9, 0.5))
         self.session = session(name, listen, time_out, limit=0, limit_per_host=1, keepalive_timeout=60)
+        self.session.headers[REACHED] = reached
         self.queues, self.tasks = {}, {}
         self.counts = {"batches": 0, "sent": 0, "failed": 0, "dropped": 0, "queued_most": 0}
 
@@ -50,6 +52,19 @@
         self.counts["dropped"] += queue.put(ENCODE(message))
         self.counts["queued_most"] = max(self.counts["queued_most"], len(queue.messages))
 
+    def address(self, name):
+        """Where to send. A member that is far behind (one just seated, one long away) may know none of the
+        seats of now: it answers whoever speaks to it where that says that it is reached."""
+        return self.seated(name) or self.said.get(name)
+
+    def heard(self, name, address):
+        """A message of this peer came, which says that it is reached there."""
+        self.alive(name)
+        if address and (name in self.said or len(self.said) < MOST_PEERS):
+            self.said[name] = address
+        elif address:
+            self.said = {name: address}
+
     def make_room(self):
         if len(self.queues) >= MOST_PEERS:
             for name in [name for name in self.queues if self.address(name) is None]:
--- a/lemonlead/member/run.py
+++ b/lemonlead/member/run.py
@@ -98,7 +98,13 @@
         times = told.times
         self.asking = Asking(self.name, told.listen, told.clusters, max(times.election / 2e9, 0.25), 11)
         self.peers = Peers(
-            self.name, told.listen, times, self.seed, self.address, lambda name: self.forming.hand(name)
+            self.name,
+            told.listen,
+            told.reached,
+            times,
+            self.seed,
+            self.address,
+            lambda name: self.forming.hand(name),
         )
         self.shelf = Shelf(folder, self.ledger, self.tell)
         self.forming = Forming(self, self.seed)
@@ -154,14 +160,17 @@
             self.why = why
             self.log.info("outside", reason=why)
 
-    def heard(self, messages):
-        """Messages of peers; the status that answers them."""
+    def heard(self, messages, address):
+        """Messages of peers, from one that says that it is reached at this address, or says nothing; the
+        status that answers them."""
+        to_me = [one for one in messages if one.to == self.name and one.to_seal == self.folder.id]
         if self.host is not None:
             for message in messages:
                 self.host.heard(message)
-                self.peers.alive(message.sender)
+            for name in {one.sender for one in to_me if one.cluster == self.folder.cluster}:
+                self.peers.heard(name, address)
             return 204
-        mine = any(one.to == self.name and one.to_seal == self.folder.id for one in messages)
+        mine = bool(to_me)
         return 409 if mine else 204
 
     async def enter(self):
--- a/lemonlead/member/told.py
+++ b/lemonlead/member/told.py
@@ -30,6 +30,7 @@
     member: str
     data: Path  # where it is relative: from the settings file's folder
     listen: str
+    reached: str  # where others reach it
     members: dict  # name to address, of those that form the cluster
     clusters: dict  # name to list of addresses, of other clusters
     times: Times
@@ -48,6 +49,7 @@
     told = file.value
     return MemberTold(
         **{name: told[name] for name in ("cluster", "member", "listen", "members", "clusters", "bounds")},
+        reached=told.get("reached", told["listen"]),
         data=Path(path).parent / told["data"],
         times=Times(**told["times"]),
         terms=Terms(**told["terms"]),
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -345,3 +345,25 @@
     again = trio.done(id="add/2", kind="add", member=lost, address=trio.addresses[lost])
     assert again[0] == 409 and "was a member once" in again[1]["error"]["says"]
     trio.forming = sorted({*trio.forming, "g4"} - {lost})
+
+
+def test_one_that_is_seated_after_all_the_first_are_gone_finds_those_of_now(tmp_path):
+    """It begins with the first snapshot, whose members are no more, and has to answer those that it has not
+    heard of there."""
+    with Cluster(tmp_path) as cluster:
+        cluster.start().wait_leader()
+        for old, new in (("g1", "g4"), ("g2", "g5"), ("g3", "g6")):
+            cluster.start(new, join=True)
+            code, told = cluster.done(id=f"add/{new}", kind="add", member=new, address=cluster.addresses[new])
+            assert code == 200, told
+            until(lambda new=new: cluster.status(new).get("role") in ("follower", "leader"), f"{new} votes")
+            code, told = cluster.done(id=f"remove/{old}", kind="remove", member=old, address="")
+            assert code == 200, told
+            until(lambda old=old, new=new: old not in cluster.status(new)["members"], f"{old} is gone")
+            cluster.kill(old)
+        declare(cluster, 7)
+        cluster.start("g7", join=True)
+        code, told = cluster.done(id="add/g7", kind="add", member="g7", address=cluster.addresses["g7"])
+        assert code == 200, told
+        until(lambda: cluster.status("g7").get("role") == "follower", lambda: f"{cluster.status('g7')}")
+        assert "n7" in cluster.items("g7", "nodes", local=True)
