--- a/lemonlead/standins/two_clusters.py
+++ b/lemonlead/standins/two_clusters.py
@@ -73,6 +73,8 @@
         if applied.code == 200 and applied.changes:
             changes = [(part, key, msgspec.to_builtins(row)) for (part, key), row in applied.changes.items()]
             self.world.watch.saw(self.name, entry.index, changes)
+            if any(part == "moves" for part, *_ in changes):
+                self.world.steps.append(self.world.now)
             for hook in list(self.world.hooks):
                 hook(self, applied.changes)
         return applied.code, applied.body
@@ -133,6 +135,7 @@
         self.watch, self.hooks, self.cut, self.answers = Watch(names), [], set(), []
         self.lose, self.twice, self.late, self.straggle = 0.0, 0.0, 20 * MS, 0
         self.flying = 0  # messages not yet there
+        self.steps = []  # moments at which a move's record changed
         self.unknown = 0.0  # share of commands that are done and answered as unknown
         self.judge = judge or (lambda world, gateway, move: "on")
         self.sides = {}
