--- a/lemonlead/standins/move_faults.py
+++ b/lemonlead/standins/move_faults.py
@@ -29,10 +29,15 @@
 
 
 def lossy(world, time, **faults):
-    usual = {name: getattr(world, name) for name in faults}
+    """For so long. Where two overlap the later value holds until the last of them ends."""
+    end = world.now + time
     for name, value in faults.items():
         setattr(world, name, value)
-    world.at(world.now + time, lambda: [setattr(world, name, value) for name, value in usual.items()])
+        world.faulty[name] = max(end, world.faulty.get(name, 0))
+    world.at(end, lambda: [setattr(world, n, CALM[n]) for n in faults if world.faulty[n] <= world.now])
+
+
+CALM = {"lose": 0.0, "twice": 0.0, "late": 20 * MS, "straggle": 0, "unknown": 0.0}
 
 
 def leaderless(world, cluster, time):
--- a/lemonlead/standins/two_clusters.py
+++ b/lemonlead/standins/two_clusters.py
@@ -134,6 +134,7 @@
         self.rng, self.now, self.turns, self.events = random.Random(seed), SECOND, count(), []
         self.watch, self.hooks, self.cut, self.answers = Watch(names), [], set(), []
         self.lose, self.twice, self.late, self.straggle = 0.0, 0.0, 20 * MS, 0
+        self.faulty = {}  # until when messages are carried so, by what is wrong
         self.flying = 0  # messages not yet there
         self.steps = []  # moments at which a move's record changed
         self.unknown = 0.0  # share of commands that are done and answered as unknown
