--- /dev/null
+++ b/tests/test_simulated_faults.py
@@ -0,0 +1,309 @@
+"""Faults put in on purpose, each a small subclass of what it spoils: a judge of the simulated world has to
+catch each within a few hundred drawn schedules. Against judges that see nothing."""
+
+from dataclasses import replace
+
+import msgspec
+import pytest
+from immutables import Map
+
+from lemonlead.ledger.capacity import Reserve
+from lemonlead.ledger.following import Following
+from lemonlead.ledger.office import Office
+from lemonlead.ledger.records import Canvass
+from lemonlead.ledger.replica import Replica
+from lemonlead.ledger.seating import Change
+from lemonlead.ledger.state import Ledger
+from lemonlead.standins.simulated.hosts import plain_desk
+from lemonlead.standins.simulated.schedules import Schedule, Trouble, draw, play, plain_ledger, shrunk
+
+MOST = 300  # schedules in which each has to be caught
+
+
+def of_replica(kind):
+    """Members whose replica is of this class."""
+
+    def make(host, told, kept, state, now):
+        desk = plain_desk(host, told, kept, state, now)
+        desk.replica = kind(told, kept, now)
+        return desk
+
+    return {"make_desk": make}
+
+
+def of_desk(spoil):
+    """Members whose desk was spoiled by `spoil(desk, host)`."""
+
+    def make(host, told, kept, state, now):
+        desk = plain_desk(host, told, kept, state, now)
+        spoil(desk, host)
+        return desk
+
+    return {"make_desk": make}
+
+
+def of_office(kind):
+    """Members whose office, once they lead, is of this class."""
+
+    class Elected(Replica):
+        def decide(self, now, door):
+            if type(self.office) is Office:
+                self.office.__class__ = kind
+            return super().decide(now, door)
+
+        tick = getattr(kind, "tick", Replica.tick)
+
+    return of_replica(Elected)
+
+
+def of_following(kind):
+    class Follows(Replica):
+        def __init__(self, told, kept, now):
+            super().__init__(told, kept, now)
+            self.following.__class__ = kind
+
+    return of_replica(Follows)
+
+
+class AcknowledgesBeforeSync(Following):
+    def acknowledge(self):
+        paper = self.replica.paper
+        held, paper.held = paper.held, max(self.verified, paper.held)
+        super().acknowledge()
+        paper.held = held
+
+
+class SendsBeforeSync(Replica):
+    """Votes go out before they are on disk."""
+
+    def post(self, message, after=None):
+        self.put(message)
+
+
+class CountsOwnUnsynced(Replica):
+    def majority(self, of, own):
+        return super().majority(of, self.log.last if own == self.paper.held else own)
+
+
+class VotesTwice(Replica):
+    def heard(self, now, message):
+        if isinstance(message, Canvass) and message.term == self.term and not message.early:
+            self.voted = ""
+        super().heard(now, message)
+
+
+class VotesForShortLogs(Replica):
+    def heard(self, now, message):
+        if isinstance(message, Canvass):
+            message = msgspec.structs.replace(message, last_term=1 << 40)
+        super().heard(now, message)
+
+
+class CommitsOldTerms(Office):
+    def settle(self, now):
+        """As the office does, but for the term of the entry."""
+        replica = self.replica
+        index = replica.majority(lambda name: self.peers[name].match, replica.paper.held)
+        if index > replica.committed:
+            replica.committed, self.moved = index, now
+
+
+class CountsLearners(Replica):
+    """And leaves them learners, so that it matters for long."""
+
+    def decide(self, now, door):
+        if self.office is not None:
+            self.office.promote = lambda now: False
+        return super().decide(now, door)
+
+    def majority(self, of, own):
+        figures = sorted((own if name == self.name else of(name) for name in self.seats), reverse=True)
+        return figures[self.quorum - 1]
+
+
+class CountsMinority(Replica):
+    def majority(self, of, own):
+        figures = sorted((own if name == self.name else of(name) for name in self.voters), reverse=True)
+        return figures[max(self.quorum - 2, 0)]
+
+
+class ElectedByFew(Replica):
+    def fresh_seats(self):
+        super().fresh_seats()
+        self.quorum = len(self.voters) // 2
+
+
+class ReadsWithoutRound(Office):
+    """A leader that was paused, or cut off, and reads at once."""
+
+    def tick(self, now):
+        self.now = max(now, self.now)
+
+    def decide(self, now, door):
+        self.check = now + self.told.election
+        return super().decide(now, door)
+
+    def confirm(self):
+        super().confirm()
+        self.confirmed = self.round
+
+
+class CutsWhatItHas(Following):
+    """A late repeat cuts off what came after it."""
+
+    def take(self, prev, entries):
+        replica = self.replica
+        if prev + 1 >= replica.log.first and entries[0].index <= replica.log.last:
+            replica.log.cut(entries[0].index)
+            replica.paper.cut(entries[0].index)
+            replica.fresh_seats()
+        return super().take(prev, entries)
+
+
+class SeatsWithoutFolder(Replica):
+    def meant(self, message):
+        return message.to == self.name and message.sender != self.name
+
+    def mine(self, seats):
+        return seats.get(self.name)
+
+
+class SaysNotDone(Replica):
+    """Whatever it does not know the end of is told as not done."""
+
+    def refuse(self, ticket, outcome):
+        super().refuse(ticket, "not done" if outcome else outcome)
+
+
+class TakesNoSnapshot(Following):
+    def part(self, message):
+        return None
+
+
+class Odd(Ledger):
+    """A state function that depends on the member."""
+
+    def __init__(self, name):
+        plain = plain_ledger()
+        super().__init__(plain.rules, plain.kinds)
+        self.name = name
+
+    def read(self, data, outside=False):
+        command = super().read(data, outside)
+        if isinstance(command, Reserve):
+            return msgspec.structs.replace(command, service=self.name)
+        return command
+
+
+def reads_at_once(desk, host):
+    desk.read = lambda now, ticket: desk.done.append(lambda door: door.readable(ticket, desk.state, ""))
+
+
+def forgets_ids(desk, host):
+    """After a restart."""
+    desk.state = replace(desk.state, answers=Map(), order=Map())
+
+
+def applies_twice(desk, host):
+    """The first entry after a snapshot, with its id forgotten."""
+    commit, first = desk.commit, [desk.state.index + 1]
+
+    def again(entries):
+        commit(entries)
+        if entries[0].index == first[0] and len(entries) == 1:
+            answers, order = desk.state.answers, desk.state.order
+            before = replace(desk.state, index=entries[0].index - 1, answers=Map(), order=Map())
+            after, _ = desk.ledger.apply(before, entries[0])
+            desk.state = replace(after, answers=answers, order=order)
+
+    desk.commit = again
+
+
+def answers_at_once(desk, host):
+    """Before anything is committed."""
+    propose = desk.replica.propose
+
+    def command(now, wall_ms, data, ticket):
+        if desk.replica.office is None:
+            return propose(now, wall_ms, data, ticket)
+        propose(now, wall_ms, data, Change())
+        at = desk.replica.last
+        desk.done.append(lambda door: door.answer(ticket, 200, {"at": at}))
+
+    desk.replica.propose = command
+
+
+def goes_on_without_disk(desk, host):
+    """A disk that failed is taken as one that wrote."""
+    desk.disk_failed = lambda now, why: desk.written(now, desk.replica.paper.number)
+
+
+def odd(desk, host):
+    desk.ledger = Odd(host.name)
+
+
+def same_folder(play):
+    """A wiped machine comes up under its old folder's id."""
+    cluster, plain = play.cluster, play.cluster.new_folder
+
+    def new_folder(name):
+        old = cluster.hosts.get(name)
+        return cluster.disk(old.disk.folder) if old else plain(name)
+
+    cluster.new_folder = new_folder
+
+
+CUTS = ["cut", "cut_in", "cut_out", "kill", "pause", "split"]
+FAULTS = {
+    # fault: (judge that has to see it, how it is put in, troubles that bring it out, and the first seed
+    # where the first hundred were seen to show nothing)
+    "acknowledges before sync": ("Acknowledged", of_following(AcknowledgesBeforeSync), []),
+    "votes before sync": ("Votes", of_replica(SendsBeforeSync), []),
+    "counts its own unsynced": ("Logs", of_replica(CountsOwnUnsynced), ["slow_disk"]),
+    "votes twice in a term": ("Votes", of_replica(VotesTwice), ["all", "kill", "late", "hand_over"], 79),
+    "votes for shorter logs": ("Leaders", of_replica(VotesForShortLogs), CUTS),
+    "commits by an old term": ("Logs", of_office(CommitsOldTerms), CUTS),
+    "counts a learner as voter": ("Logs", of_replica(CountsLearners), ["wipe", "cut", "cut_pair"]),
+    "commits by a minority": ("Logs", of_replica(CountsMinority), []),
+    "leads by a minority": ("Leaders", of_replica(ElectedByFew), CUTS),
+    "local reads as of now": ("Seeing", of_desk(reads_at_once), []),
+    "reads without a round": ("Seeing", of_office(ReadsWithoutRound), ["cut"]),
+    "cuts off what is committed": ("Logs", of_following(CutsWhatItHas), ["late", "twice"]),
+    "seats without a folder": ("Votes", of_replica(SeatsWithoutFolder), ["impostor", "kill", "all"]),
+    "an old folder's id again": ("Votes", {"setup": same_folder}, ["impostor", "kill", "all"]),
+    "ids forgotten by a restart": ("SameState", of_desk(forgets_ids), ["kill"]),
+    "applies twice after a snapshot": ("SameState", of_desk(applies_twice), ["kill", "all"]),
+    "a state that depends on the member": ("SameState", of_desk(odd), []),
+    "answers before commit": ("Promises", of_desk(answers_at_once), []),
+    "goes on without its disk": ("Acknowledged", of_desk(goes_on_without_disk), ["broken_disk"]),
+    "unknown told as not done": ("Promises", of_replica(SaysNotDone), ["burst", "kill", "pause"], 78),
+    "takes no snapshot": ("Live", of_following(TakesNoSnapshot), ["wipe", "kill_long"]),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_fault_put_in_on_purpose_is_caught(fault):
+    judge, put_in, kinds, first = (*FAULTS[fault], 0)[:4]
+    seen = set()
+    for seed in range(first, first + MOST):
+        broken = play(draw(seed, kinds), **put_in).broken
+        if broken is not None:
+            seen.add(broken.judge)
+            if judge == broken.judge:
+                return
+    pytest.fail(f"{judge} saw nothing in {MOST} schedules; others: {seen}")
+
+
+def test_a_fault_is_shrunk_to_a_schedule_that_plays_again():
+    judge, put_in, kinds = FAULTS["an old folder's id again"]
+    schedule = next(one for one in (draw(seed, kinds) for seed in range(MOST)) if breaks(one, judge, put_in))
+    short = shrunk(schedule, lambda one: breaks(one, judge, put_in))
+    assert len(short.troubles) < len(schedule.troubles)
+    assert [trouble.kind for trouble in short.troubles].count("impostor") == 1
+    again = eval(repr(short), {"Schedule": Schedule, "Trouble": Trouble})
+    assert again == short and breaks(again, judge, put_in) and not breaks(again, judge, {})
+
+
+def breaks(schedule, judge, put_in):
+    broken = play(schedule, **put_in).broken
+    return broken is not None and broken.judge == judge
