--- a/lemonlead/following/course.py
+++ b/lemonlead/following/course.py
@@ -6,8 +6,10 @@
 
 import json
 import random
+from collections import deque
 from dataclasses import dataclass
 
+from .merge import MOST_LEFT
 from .words import ASKED, pause
 
 MS = 1_000_000
@@ -45,10 +47,28 @@
         self.shunned = {}  # member: until when
         self.number, self.at = 1, 0  # of the next command; up to where all was obeyed
         self.since = 0  # the entry that took it in: each poll names it
-        self.counts = dict.fromkeys(("polls", "failures", "passes", "moves", "wholes", "older"), 0)
+        self.cluster, self.gone = "", deque(maxlen=MOST_LEFT)  # the one that it follows; those that it left
+        self.counts = dict.fromkeys(("polls", "failures", "passes", "moves", "wholes", "older", "anew"), 0)
 
     # ---- inputs
 
+    def answered(self, now, cluster):
+        """Whether an answer of this cluster is to be heeded as it is. One formed anew is followed from the
+        start: asked to be waited for, then the whole of it; what it left is heeded no more, however late it
+        answers."""
+        if cluster in self.gone:
+            self.older(now)
+            return False
+        if self.cluster in ("", cluster):
+            self.cluster = cluster
+            return True
+        self.counts["anew"] += 1
+        self.gone.append(self.cluster)
+        self.cluster, self.at = cluster, 0
+        self.kept_no_more()
+        self.number += 1
+        return False
+
     def followed(self, now, since):
         """Entry `since` took it in. What it holds of the state is taken anew: it may lack what came
         between."""
--- a/lemonlead/following/driver.py
+++ b/lemonlead/following/driver.py
@@ -50,7 +50,7 @@
         self.course = Course(me, os.urandom(6).hex(), members, place.start.seed)
         self.sock = self.at = None  # the connection that stands, and to where
         self.first, self.woken, self.over = threading.Event(), threading.Event(), threading.Event()
-        self.obeyed, self.leaves, self.last = -1, False, ""
+        self.obeyed, self.leaves, self.last = ("", -1), False, ""  # obeyed: cluster and index
 
     def start(self, discovery, lines, addresses):
         """From now on the balancer is told what both say. `lines`, `addresses`: the list as told before. Back
@@ -75,26 +75,30 @@
                 self.woken.wait(max(course.not_before - now(), 0) / 1e9)
                 self.woken.clear()
                 continue
-            try:
-                reason = self.call(ask)
-            except ValueError as error:  # Malformed and Unreadable among them
-                reason = f"malformed: {error}"
-            except TimeoutError:
-                reason = "silent"
-            except OSError as error:
-                reason = REASONS.get(type(error), "unreachable")
-            except Exception as error:  # the next call depends on the thread
-                reason = f"fault {type(error).__name__}: {error}"
-                self.counters.add("ledger faults")
-            if reason:
-                self.end()
-                self.parts = []
-                if reason != "passed on":
-                    course.failed(now(), unread=reason.startswith("malformed"))
-            self.say(ask, reason)
+            self.turn(ask)
         self.end()
         self.over.set()
 
+    def turn(self, ask):
+        """One call, whatever comes of it."""
+        try:
+            reason = self.call(ask)
+        except ValueError as error:  # Malformed and Unreadable among them
+            reason = f"malformed: {error}"
+        except TimeoutError:
+            reason = "silent"
+        except OSError as error:
+            reason = REASONS.get(type(error), "unreachable")
+        except Exception as error:  # the next call depends on the thread
+            reason = f"fault {type(error).__name__}: {error}"
+            self.counters.add("ledger faults")
+        if reason:
+            self.end()
+            self.parts = []
+            if reason != "passed on":
+                self.course.failed(now(), unread=reason.startswith("malformed"))
+        self.say(ask, reason)
+
     def say(self, ask, reason):
         """One line when it begins to fail and one when it works again, not one a call."""
         if self.leaves:
@@ -115,16 +119,35 @@
         if ask.what in (FOLLOW, UNFOLLOW):
             return self.commanded(ask, status, told)
         if ask.what == STATE and status in (400, 404) and ask.part != "nodes":
-            told, status = {"at": 1 << 62, "items": {}}, 200  # a part that it does not show
+            return self.state(ask, words.unshown(ask.part))
         if status != 200:
             return f"status {status}"
-        return self.state(ask, told) if ask.what == STATE else self.events(ask, told)
+        if not self.heeded(told):
+            return self.unheeded(told)
+        return self.state(ask, words.state(told, ask.part)) if ask.what == STATE else self.events(ask, told)
+
+    def heeded(self, told):
+        """Whether this answer is of the cluster that is followed; else what was had of a state is of none."""
+        before, cluster = self.course.cluster, words.cluster(told)
+        heeded = self.course.answered(now(), cluster)
+        if not heeded:
+            self.parts = []
+        if self.course.cluster != before and before:
+            self.log.warning("ledger anew", cluster_id=cluster, before=before)
+        return heeded
+
+    def unheeded(self, told):
+        """A call that was answered by one that is followed from now on has worked."""
+        return "" if words.cluster(told) == self.course.cluster else "passed on"
 
     def commanded(self, ask, status, told):
         if ask.what == UNFOLLOW and status in (200, 400, 409):
             self.course.unfollowed()
         elif status == 200:
-            self.course.followed(now(), words.whole_number(told, "at"))
+            since = words.whole_number(told, "at")
+            if not self.heeded(told):
+                return self.unheeded(told)
+            self.course.followed(now(), since)
         elif status in (400, 409):
             self.log.warning("ledger refused", what=ask.what, status=status)
             self.counters.add("ledger follows refused")
@@ -133,8 +156,8 @@
             return f"status {status}"
         return ""
 
-    def state(self, ask, told):
-        self.parts.append(words.state(told, ask.part))
+    def state(self, ask, news):
+        self.parts.append(news)
         if self.course.had(ask.part):
             parts, self.parts = self.parts, []
             if not self.obey(words.joined(parts), ""):
@@ -171,7 +194,7 @@
         """Whether the balancer was told. Only then is the next poll an acknowledgement: from then on its
         `may_begin` lets no send begin that was meant for what is out."""
         self.desk.tell(self.heard, news)
-        if self.obeyed < news.at:
+        if self.obeyed[0] != news.cluster or self.obeyed[1] < news.at:
             return False
         self.course.obeyed(now(), news.at, leader)
         self.first.set()
@@ -185,7 +208,7 @@
         if told[0]:
             self.counters.add("ledger told")
             self.discovery.put(moment, *told, False, False)
-        self.obeyed = news.at
+        self.obeyed = news.cluster, news.at
 
     # ---- one call
 
--- a/lemonlead/following/merge.py
+++ b/lemonlead/following/merge.py
@@ -4,11 +4,13 @@
 neither can undo the other's drain, whatever comes late, twice or goes back in version. An instance gets sends
 only where discovery has it ready, no permit is out for it and the ledger has it serving or catching up."""
 
+from collections import deque
 from dataclasses import dataclass, replace
 
 from ..interface import DRAINING, GONE, READY
 from .words import MOST
 
+MOST_LEFT = 64  # clusters that were left for one formed anew; past it the oldest is forgotten
 UP = ("serving", "catching_up")
 
 
@@ -32,6 +34,7 @@
         self.words = {}  # by node, where there is more to say than PLAIN
         self.permits = set()  # nodes for which one is out
         self.at = -1  # the ledger's entry up to which its word is known; nothing older is heeded
+        self.cluster, self.gone = "", deque(maxlen=MOST_LEFT)  # whose word that is; those that it was before
 
     def listed(self, lines, addresses, whole):
         """Discovery's list, or changes of it: the same as the two words have it together."""
@@ -49,7 +52,7 @@
     def heard(self, now, news):
         """The ledger's news: lines and addresses of what it changes, or None where it is too old to be
         heeded. `now`: of the clock that instances' starts are told by."""
-        if news.at < self.at:
+        if news.cluster != self.cluster and not self.anew(news) or news.at < self.at:
             return None
         before = {id: self.line(id) for id in self.touched(news) if id in self.lines}
         known = dict(self.words)
@@ -68,6 +71,17 @@
         self.at = news.at
         return self.told([id for id, line in before.items() if self.line(id) != line])
 
+    def anew(self, news):
+        """The first word of a cluster formed anew counts where it is the whole, whatever its index, and none
+        of those before it any more. What a node's `warm` was there says nothing here."""
+        if news.cluster in self.gone or not {"nodes", "permits"} <= set(news.whole):
+            return False
+        if self.cluster:
+            self.gone.append(self.cluster)
+        self.cluster, self.at = news.cluster, -1
+        self.words = {name: replace(word, warm=0) for name, word in self.words.items()}
+        return True
+
     def touched(self, news):
         if news.whole:
             return list(self.lines)
--- a/lemonlead/following/words.py
+++ b/lemonlead/following/words.py
@@ -15,12 +15,14 @@
 class News:
     """What an answer tells up to entry `at`. `changes`: (part, key, record as dict, or None where it was
     dropped), in order. `whole`: parts of which `changes` are all records that there are. `moment`: the
-    ledger's time as of then, None where it is not told."""
+    ledger's time as of then, None where it is not told. `cluster`: the id that the cluster drew as it was
+    formed; one formed anew counts from 1 again."""
 
     at: int
     changes: list
     whole: tuple = ()
     moment: int | None = None
+    cluster: str = ""
 
 
 def checked(body, check):
@@ -43,6 +45,14 @@
     return value
 
 
+def cluster(told):
+    """The id of the cluster that answered."""
+    id = told.get("cluster_id")
+    if type(id) is not str or not 0 < len(id) <= 100:
+        raise Unreadable(f"cluster_id is {id!r}"[:100])
+    return id
+
+
 def moment(told):
     return whole_number(told, "moment") if told.get("moment") is not None else None
 
@@ -73,7 +83,7 @@
         changes += changed(event.get("changes"))
     if last > max(at, after):
         raise Unreadable(f"an event of entry {last} in an answer up to {at}")
-    return News(at, changes, moment=moment(told))
+    return News(at, changes, moment=moment(told), cluster=cluster(told))
 
 
 def changed(told):
@@ -93,17 +103,23 @@
     if type(items) is not dict or len(items) > MOST or None in items.values():
         raise Unreadable("items that are none, or too many")
     changes = [record(part, key, value) for key, value in items.items()]
-    return News(whole_number(told, "at"), changes, (part,), moment(told))
+    return News(whole_number(told, "at"), changes, (part,), moment(told), cluster(told))
+
+
+def unshown(part):
+    """A part that the member does not show: nothing is known of it, and nothing is held."""
+    return News(1 << 62, [], (part,))
 
 
 def joined(some):
-    """One of several: true as of the earliest of them; what came after it is told again."""
+    """One of several of one cluster: true as of the earliest of them; what came after it is told again."""
     moments = [news.moment for news in some if news.moment is not None]
     return News(
         min(news.at for news in some),
         [change for news in some for change in news.changes],
         tuple(part for news in some for part in news.whole),
         min(moments) if len(moments) == len(some) else None,
+        max(news.cluster for news in some),
     )
 
 
--- a/lemonlead/member/outside.py
+++ b/lemonlead/member/outside.py
@@ -148,6 +148,11 @@
             raise Outside(self.member.why or "the member starts")
         return self.member.host
 
+    @property
+    def cluster_id(self):
+        """Drawn as the cluster was formed: one formed anew, which counts from 1 again, has another."""
+        return self.host.desk.replica.told.cluster
+
     async def within(self, ticket, outcome):
         try:
             async with asyncio.timeout(COMMAND_TIME):
@@ -201,7 +206,7 @@
             data = await self.member.forming.filled_in(data)
         code, body = await self.within(host.command(data), UNKNOWN)
         if code != 503:
-            return answer(code, body)
+            return answer(code, {**body, "cluster_id": self.cluster_id} if code == 200 else body)
         if body.get("outcome") == NOT_DONE:
             return await self.pass_on(request, body.get("leader"), data)
         raise Undecided("leadership was lost before the command was committed: it may yet be done")
@@ -220,7 +225,9 @@
             if state is None:
                 return await self.pass_on(request, leader)
         async with self.whole:
-            head = ENCODE({"at": state.index, "moment": state.moment, **more})
+            head = ENCODE(
+                {"at": state.index, "moment": state.moment, "cluster_id": self.cluster_id, **more}
+            )
             return answer(200, head[:-1], b',"items":', await rows(whole.shown(state, name)), b"}")
 
     async def events(self, request):
@@ -239,9 +246,11 @@
         if events is not None:
             told = [{"index": index, "changes": list(changed(changes))} for index, changes in events]
             moment = self.host.desk.state.moment
-            return answer(200, {"at": at, "moment": moment, "leader": leader, "events": told})
+            body = {"at": at, "moment": moment, "leader": leader, "cluster_id": self.cluster_id}
+            return answer(200, {**body, "events": told})
         async with self.whole:
-            head = ENCODE({"at": at, "moment": state.moment, "leader": leader})[:-1] + b',"whole":{'
+            body = {"at": at, "moment": state.moment, "leader": leader, "cluster_id": self.cluster_id}
+            head = ENCODE(body)[:-1] + b',"whole":{'
             names = [name for name in sorted(state.parts) if not parts or name in parts]
             told = [ENCODE(name) + b":" + await rows(state.parts[name]) for name in names]
             return answer(200, head, b",".join(told), b"}}")
--- a/lemonlead/standins/followed.py
+++ b/lemonlead/standins/followed.py
@@ -20,7 +20,7 @@
 
     def __init__(self):
         self.changed = threading.Condition()
-        self.at, self.kept, self.moment = 1, 1, 0
+        self.at, self.kept, self.moment, self.id = 1, 1, 0, "c1"
         self.parts = {"nodes": {}, "permits": {}, "followers": {}, "members": {}}
         self.reports = []  # (node, state)
         self.events, self.ids, self.polls, self.counts = [], {}, {}, Counter()
@@ -37,6 +37,15 @@
             self.changed.notify_all()
             return self.at
 
+    def form_anew(self):
+        """Another cluster of the same members, which knows nothing of this one."""
+        with self.changed:
+            self.id, self.at, self.kept, self.events, self.ids = self.id + "+", 1, 1, [], {}
+            for part in self.parts.values():
+                part.clear()
+            self.polls.clear()
+            self.changed.notify_all()
+
     def node(self, name, **fields):
         with self.changed:
             before = self.parts["nodes"].get(name, {"site": "s", "units": 1, "state": "serving", "warm": 0})
@@ -65,19 +74,30 @@
             if told["kind"] == "report":
                 self.reports.append((told["node"], told["state"]))
                 self.changed.notify_all()
-                answer = self.ids[told["id"]] = 200, {"at": self.at}
+                answer = self.ids[told["id"]] = 200, {"cluster_id": self.id, "at": self.at}
                 return answer
             record = {"since": self.at + 1} if told["kind"] == "follow" else None
-            answer = self.ids[told["id"]] = 200, {"at": self.put("followers", told["gateway"], record)}
+            body = {"cluster_id": self.id, "at": self.put("followers", told["gateway"], record)}
+            answer = self.ids[told["id"]] = 200, body
             return answer
 
     def state(self, part):
         with self.changed:
             if part not in self.parts:
                 return 404, {}
-            return 200, {"at": self.at, "items": self.parts[part], "moment": self.moment}
+            told = {"cluster_id": self.id, "at": self.at, "moment": self.moment}
+            return 200, {**told, "items": dict(self.parts[part])}
+
+    def answer(self, path, body, wait=POLL):
+        if path == "/v1/commands":
+            return self.command(json.loads(body))
+        if path.startswith("/v1/state/"):
+            return self.state(path.rsplit("/", 1)[1])
+        told = dict(pair.split("=") for pair in path.partition("?")[2].split("&"))
+        parts = told["parts"].split(",") if "parts" in told else ()
+        return self.news(int(told["after"]), told.get("gateway", ""), int(told.get("since", 0)), parts, wait)
 
-    def news(self, after, gateway, since, parts=()):
+    def news(self, after, gateway, since, parts=(), wait=POLL):
         with self.changed:
             if self.parts["followers"].get(gateway, {}).get("since") == since:
                 self.polls[gateway] = max(after, self.polls.get(gateway, -1))
@@ -91,10 +111,13 @@
                     if index > after and part in (parts or self.parts)
                 ]
 
-            self.changed.wait_for(lambda: self.at > after and (after < self.kept or some()), POLL)
+            id = self.id
+            self.changed.wait_for(
+                lambda: self.at > after and (after < self.kept or some()) or self.id != id, wait
+            )
             if after < self.kept:
-                return 200, {"at": self.at, "whole": True}
-            return 200, {"at": self.at, "events": some(), "moment": self.moment}
+                return 200, {"cluster_id": self.id, "at": self.at, "whole": True}
+            return 200, {"cluster_id": self.id, "at": self.at, "events": some(), "moment": self.moment}
 
 
 class MemberServer(Server):
@@ -125,13 +148,7 @@
         leader = self.ledger.leader
         if leader is not None and leader != self.name:
             return 503, {"outcome": "not done", "leader": leader, "retry_ms": 20}
-        if path == "/v1/commands":
-            return self.ledger.command(json.loads(body))
-        if path.startswith("/v1/state/"):
-            return self.ledger.state(path.rsplit("/", 1)[1])
-        told = dict(pair.split("=") for pair in path.partition("?")[2].split("&"))
-        parts = told["parts"].split(",") if "parts" in told else ()
-        return self.ledger.news(int(told["after"]), told.get("gateway", ""), int(told.get("since", 0)), parts)
+        return self.ledger.answer(path, body)
 
 
 def whole(status, told, spoil=False):
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -8,13 +8,13 @@
 
 import pytest
 from helpers import MS, NOW
-from hypothesis import given, settings
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as some
 
 from lemonlead import interface as at
 from lemonlead.following import course as courses
 from lemonlead.following import driver, words
-from lemonlead.following.course import FOLLOW, STATE, UNFOLLOW, Course
+from lemonlead.following.course import EVENTS, FOLLOW, STATE, UNFOLLOW, Course
 from lemonlead.following.faults import Unreadable, Unusable
 from lemonlead.following.merge import Merge
 from lemonlead.following.words import News
@@ -208,11 +208,13 @@
         b'{"at": 5, "events": [{"index": 5, "changes": [{"part": "nodes", "key": 3, "record": {}}]}]}',
         b'{"at": 5, "events": [{"index": 5, "changes": {"nodes": {}}}]}',
         b'{"at": 5, "events": [{"index": 5, "changes": [{"part": "nodes", "key": "a", "record": 7}]}]}',
-        b'{"at": 5, "events": [], "moment": "x"}',
+        b'{"at": 5, "events": [], "moment": "x"}', b'{"events": [], "at": 5}',
+        b'{"cluster_id": 7, "at": 5, "events": []}', b'{"cluster_id": "", "at": 5, "events": []}',
     ],
     ids=lambda body: body[:60].decode(),
 )
 def test_answers_that_cannot_be_read_are_one_error(body):
+    body = body.replace(b'{"at"', b'{"cluster_id": "c1", "at"')
     with pytest.raises(Unreadable):
         words.events(words.checked(body, ""), 3)
 
@@ -220,7 +222,7 @@
 def test_events_are_read_and_what_is_not_heeded_is_passed_over():
     rows = [("nodes", "i0", {"out": "d"}), ("wants", "i0", ["d"]), ("permits", "i0", None)]
     changes = [{"part": part, "key": key, "record": record} for part, key, record in rows]
-    told = {"at": 9, "events": [{"index": 5, "changes": changes}]}
+    told = {"cluster_id": "c1", "at": 9, "events": [{"index": 5, "changes": changes}]}
     news = words.events(words.checked(json.dumps(told).encode(), ""), 3)
     assert (news.at, news.changes) == (9, [rows[0], rows[2]])
 
@@ -236,7 +238,7 @@
 @given(some.data())
 def test_no_answer_however_spoilt_raises_anything_else(data):
     event = {"index": 5, "changes": [{"part": "nodes", "key": "i0", "record": {"warm": 3}}]}
-    body = bytearray(json.dumps({"at": 5, "events": [event]}).encode())
+    body = bytearray(json.dumps({"cluster_id": "c1", "at": 5, "events": [event]}).encode())
     for where in data.draw(some.lists(some.integers(0, len(body) - 1), max_size=4)):
         body[where] = data.draw(some.integers(0, 255))
     body = bytes(body[: data.draw(some.integers(0, len(body)))])
@@ -338,6 +340,19 @@
     assert made.next(NOW) is None
 
 
+def test_a_cluster_that_was_left_for_one_formed_anew_is_heeded_no_more():
+    made = course()
+    assert made.answered(NOW, "c1")
+    made.followed(NOW, 40)
+    made.parts.clear()
+    made.obeyed(NOW, 50)
+    assert not made.answered(NOW, "c2") and made.next(NOW).what == FOLLOW
+    made.followed(NOW, 3)
+    assert not made.answered(NOW, "c1") and made.next(NOW) is None  # as after a failure
+    ask = made.next(made.not_before)
+    assert (made.cluster, made.at, ask.what, made.counts["anew"]) == ("c2", 0, STATE, 1)
+
+
 def test_members_that_are_learned_are_asked_too_and_bounded():
     made = course(m1="h:1")
     for number in range(100):
@@ -447,13 +462,14 @@
     assert paths[:3] == ["/v1/commands", "/v1/state/permits", "/v1/state/nodes"]
 
 
+OF = {"cluster_id": "c1"}
 SPOILT = {
     "cut": lambda path, body: None,
     "half": lambda path, body: b"HTTP/1.1 200 so\r\nContent-Length: 900\r\n\r\n{",
     "no http": lambda path, body: b"#noise\r\n\r\n",
     "no json": lambda path, body: b"HTTP/1.1 200 so\r\nContent-Length: 4\r\n\r\n{]}\n",
-    "flipped": lambda path, body: followed.whole(200, {"at": 99, "events": []}, spoil=True),
-    "from the past": lambda path, body: followed.whole(200, {"at": 1, "events": []}),
+    "flipped": lambda path, body: followed.whole(200, {**OF, "at": 99, "events": []}, spoil=True),
+    "from the past": lambda path, body: followed.whole(200, {**OF, "at": 1, "events": []}),
     "an error": lambda path, body: followed.whole(500, {}),
     "too large": lambda path, body: b"HTTP/1.1 200 so\r\nTransfer-Encoding: chunked\r\n\r\n500000\r\n",
 }
@@ -548,6 +564,121 @@
     assert "follow" in error.value.do
 
 
+# ---- a cluster that is formed anew
+
+
+def test_a_cluster_formed_anew_is_followed_from_the_start_and_its_lower_index_heeded(ledger):
+    ran = ledger.follow()
+    ledger.acknowledged("g0", ledger.permit("i0"))
+    before = ran.ready()
+    for _ in range(5):
+        ledger.permit("i0")
+    ledger.form_anew()
+    ledger.acknowledged("g0", ledger.permit("i1"))
+    assert before == ["i1"] and ran.ready() == ["i0"] and ledger.at < 5
+    assert "g0" in ledger.parts["followers"] and ran.follower.course.counts["anew"] == 1
+    assert ran.follower.figures()["ledger index"] == ledger.at
+
+
+@pytest.mark.parametrize("whole, cluster, heeded", [(("nodes", "permits"), "c2", True), ((), "c2", False)])
+def test_the_first_word_of_a_cluster_formed_anew_counts_where_it_is_whole(whole, cluster, heeded):
+    merge = Merge()
+    listed(merge, line(), whole=True)
+    merge.heard(NOW, News(9, [node(out="d1", warm=50)], ("nodes", "permits"), 60, "c1"))
+    merge.heard(NOW, News(2, [node(warm=40)], whole, 30, cluster))
+    late = merge.heard(NOW, News(10, [node(out="d1", warm=50)], ("nodes", "permits"), 60, "c1"))
+    said = merge.line("i0")
+    assert (said.state, said.started) == ((at.READY, NOW) if heeded else (at.DRAINING, 0))
+    assert (late is None, merge.cluster, merge.at) == ((True, "c2", 2) if heeded else (False, "c1", 10))
+
+
+class Alone:
+    """A follower without its thread and sockets: each of its calls gets the answer that a test picks."""
+
+    def __init__(self):
+        self.ledger, self.given, self.moment, self.answer = followed.Ledger(), [], NOW, None
+        self.truth = {}  # (cluster, index): nodes with a permit
+        where = SimpleNamespace(name="g0", start=SimpleNamespace(seed=7))
+        members = {"members": {"m1": "127.0.0.1:1", "m2": "127.0.0.1:2"}}
+        desk = SimpleNamespace(tell=lambda function, news: function(NOW, news))
+        self.follower = driver.Follower(where, members, desk, Log(), Counters())
+        self.follower.discovery = SimpleNamespace(put=lambda *told: None)
+        self.follower.merge.listed([line(id) for id in NAMES], {}, True)
+        self.follower.exchange = lambda ask: self.answer
+        self.seen()
+
+    def seen(self):
+        self.truth[self.ledger.id, self.ledger.at] = set(self.ledger.parts["permits"])
+
+    def step(self, late=None):
+        """One call, answered now, or by what another cluster than the followed one once answered to such a
+        call."""
+        course, merge = self.follower.course, self.follower.merge
+        self.moment = max(self.moment, course.not_before)
+        ask = course.next(self.moment)
+        if ask.what == EVENTS:
+            assert (course.cluster, course.at) == (merge.cluster, merge.at)
+        some = [told for what, told in self.given if what == (ask.what, ask.part)]
+        some = [told for told in some if told[1]["cluster_id"] != course.cluster]
+        if late is not None and some:
+            self.answer = some[late % len(some)]
+        else:
+            self.answer = json.loads(json.dumps(self.ledger.answer(ask.path, ask.body, wait=0)))
+            self.given.append(((ask.what, ask.part), self.answer))
+            self.seen()
+        before = merge.cluster, merge.at
+        self.follower.turn(ask)
+        assert (len(merge.cluster), merge.at) >= (len(before[0]), before[1])
+        assert merge.at < 0 or merge.permits == self.truth[merge.cluster, merge.at]
+        assert not self.follower.counters.read().get("ledger faults")
+
+    def settles(self):
+        def settled():
+            known = self.follower.merge.cluster, self.follower.merge.at
+            return known == (self.ledger.id, self.ledger.at) == (self.follower.course.cluster, self.polled())
+
+        for _ in range(12):
+            if settled():
+                return
+            self.step()
+        raise AssertionError("it does not come to follow")
+
+    def polled(self):
+        return self.ledger.polls.get("g0")
+
+
+ANSWERS = some.one_of(
+    some.just(("answered",)),
+    some.just(("answered",)),
+    some.tuples(some.just("late"), some.integers(0, 50)),
+    some.tuples(some.just("permit"), some.sampled_from(NAMES), some.booleans()),
+    some.just(("anew",)),
+    some.just(("forgets",)),
+)
+
+
+@settings(max_examples=150, deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
+@given(steps=some.lists(ANSWERS, max_size=40))
+def test_late_answers_of_a_cluster_that_is_no_more_are_heeded_by_nobody(monkeypatch, steps):
+    alone = Alone()
+    monkeypatch.setattr(driver, "now", lambda: alone.moment)
+    for what, *more in steps:
+        match what:
+            case "answered":
+                alone.step()
+            case "late":
+                alone.step(late=more[0])
+            case "permit":
+                alone.ledger.put("permits", more[0], {"drain": "d"} if more[1] else None)
+                alone.seen()
+            case "anew":
+                alone.ledger.form_anew()
+                alone.seen()
+            case "forgets":
+                alone.ledger.forget()
+    alone.settles()
+
+
 # ---- whole programs
 
 
