--- a/lemonlead/following/course.py
+++ b/lemonlead/following/course.py
@@ -45,6 +45,7 @@
         self.follows, self.leaving, self.left = False, False, False
         self.parts = list(STATE_PARTS)  # still to be had before events can be
         self.shunned = {}  # member: until when
+        self.obeyed_at = None  # the moment at which it last had word of all up to `at`
         self.number, self.at = 1, 0  # of the next command; up to where all was obeyed
         self.since = 0  # the entry that took it in: each poll names it
         self.cluster, self.gone = "", deque(maxlen=MOST_LEFT)  # the one that it follows; those that it left
@@ -94,6 +95,7 @@
         """The balancer knows all up to this entry. `leader`: who led as the member answered: to be asked
         itself, where it can be reached, as it is the one that counts who has acknowledged."""
         self.worked()
+        self.obeyed_at = now
         self.counts["polls"] += 1
         self.at = max(self.at, at)
         if leader in self.members and self.shunned.get(leader, now) <= now:
@@ -131,6 +133,10 @@
         self.counts["older"] += 1
         self.failed(now, told={})
 
+    def unheard(self, now):
+        """Milliseconds since it last had word, -1 where it never had."""
+        return -1 if self.obeyed_at is None else (now - self.obeyed_at) // MS
+
     def leave(self, now):
         """It has ended its sends: asks not to be waited for any more."""
         self.leaving, self.not_before = True, now
--- a/lemonlead/following/driver.py
+++ b/lemonlead/following/driver.py
@@ -279,5 +279,6 @@
 
     def figures(self):
         counts = {f"ledger {name}": count for name, count in self.course.counts.items()}
-        return {**counts, "ledger index": self.course.at, "ledger held back": self.merge.held_back()}
+        counts |= {"ledger index": self.course.at, "ledger unheard ms": self.course.unheard(now())}
+        return {**counts, "ledger held back": self.merge.held_back()}
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -522,6 +522,36 @@
     assert len([event for event in ran.log if event[0] == "ledger"]) == 2  # when it began and when it ended
 
 
+@pytest.mark.parametrize("heard_of_it", [True, False])
+def test_cut_off_it_holds_to_what_it_heard_and_has_the_rest_from_discovery(ledger, heard_of_it):
+    ran = ledger.follow()
+    ledger.acknowledged("g0", ledger.permit("i0") if heard_of_it else 3)
+    assert 0 <= ran.follower.figures()["ledger unheard ms"] < 60_000
+    for server in ledger.servers:
+        ledger.wires.refuse("g0", server.name)
+        ledger.wires.reset("g0", server.name)
+    until(lambda: ran.follower.course.counts["failures"] >= 2)
+    ledger.put("followers", "g0", None)  # its lease and grace ran out: the node goes down
+    ledger.node("i0", state="drained")
+    with ran.desk.lock:
+        lines = [line("i0", started=NOW), line("i1")]
+        ran.discovery.listed(place.now(), 9, lines, {}, True, True)
+    assert ran.ready() == (["i1"] if heard_of_it else ["i0", "i1"])
+    figures = ran.follower.figures()
+    assert figures["ledger held back"] == heard_of_it and figures["ledger unheard ms"] >= 0
+    ledger.wires.heal()
+    until(lambda: "g0" in ledger.parts["followers"] and ran.ready() == ["i1"])
+    assert ran.count("ledger forgot") == 1
+
+
+def test_how_long_nothing_was_heard_is_told():
+    made = course()
+    before = made.unheard(NOW)
+    made.obeyed(NOW, 5)
+    made.failed(NOW + MS)
+    assert (before, made.unheard(NOW + 12_000 * MS)) == (-1, 12_000)
+
+
 def test_it_goes_to_the_leader_that_a_member_names_and_on_when_that_changes(ledger):
     ledger.leader = "m2"
     ran = ledger.follow()
