--- a/lemonlead/following/course.py
+++ b/lemonlead/following/course.py
@@ -18,7 +18,7 @@
 PASSES = 3  # times in a row that it is passed on at once; past it, it waits as after a failure
 MOST_MEMBERS = 64  # known by name
 SHUNNED = 10_000 * MS  # for which a member that did not answer is not gone to for being the leader
-FOLLOW, STATE, EVENTS, UNFOLLOW = "follow", "state", "events", "unfollow"
+FOLLOW, STATE, EVENTS, UNFOLLOW, VOTE = "follow", "state", "events", "unfollow", "move_vote"
 STATE_PARTS = ("permits", "nodes")  # in this order: what a node is told to be is never older than its permit
 
 
@@ -31,11 +31,13 @@
     path: str
     body: bytes = b""
     part: str = ""
+    number: int = 0  # of the command
 
 
 class Course:
-    def __init__(self, me, boot, members, seed):
-        """`boot`: of this process alone, so that ids are never used twice. `members`: name to address."""
+    def __init__(self, me, boot, members, seed, more=()):
+        """`boot`: of this process alone, so that ids are never used twice. `members`: name to address.
+        `more`: parts of the state that are asked for beside those that all heed."""
         self.me, self.boot, self.members = me, boot, dict(members)
         self.random = random.Random(seed)
         self.order = sorted(members)
@@ -43,7 +45,10 @@
         self.member = self.order[0]
         self.length, self.passes, self.not_before, self.follow_at = SHORTEST, 0, 0, 0
         self.follows, self.leaving, self.left = False, False, False
-        self.parts = list(STATE_PARTS)  # still to be had before events can be
+        self.all_parts = (*STATE_PARTS, *more)
+        self.parts = list(self.all_parts)  # still to be had before events can be
+        self.ballot = None  # the vote that the ledger is to be told: (number, fields)
+        self.ballots = 0
         self.shunned = {}  # member: until when
         self.obeyed_at = None  # the moment at which it last had word of all up to `at`
         self.number, self.at = 1, 0  # of the next command; up to where all was obeyed
@@ -76,7 +81,7 @@
         self.worked()
         self.since = since
         self.number += 1
-        self.follows, self.parts = True, list(STATE_PARTS)
+        self.follows, self.parts = True, list(self.all_parts)
 
     def refused(self, now):
         """The ledger has no room for it: it obeys all the same, and is not waited for."""
@@ -104,7 +109,7 @@
     def kept_no_more(self):
         """What it asked for is kept no more: the whole state again; perhaps it was forgotten meanwhile."""
         self.worked()
-        self.follows, self.parts = False, list(STATE_PARTS)
+        self.follows, self.parts = False, list(self.all_parts)
 
     def forgotten(self):
         """Its lease ran out while it was not heard."""
@@ -120,7 +125,7 @@
             self.counts["passes"] += 1
             return self.move(member)
         if self.parts or unread:
-            self.parts = list(STATE_PARTS)  # all of them from one member
+            self.parts = list(self.all_parts)  # all of them from one member
         if told is None:
             self.shunned[self.member] = now + SHUNNED
         self.move(self.order[(self.order.index(self.member) + 1) % len(self.order)])
@@ -137,6 +142,18 @@
         """Milliseconds since it last had word, -1 where it never had."""
         return -1 if self.obeyed_at is None else (now - self.obeyed_at) // MS
 
+    def vote(self, fields):
+        """To be told once it follows, in place of any before that was not answered. Its number."""
+        self.ballots += 1
+        self.ballot = self.ballots, fields
+        return self.ballots
+
+    def voted(self, number):
+        """The ledger answered this one."""
+        self.worked()
+        if self.ballot is not None and self.ballot[0] == number:
+            self.ballot = None
+
     def leave(self, now):
         """It has ended its sends: asks not to be waited for any more."""
         self.leaving, self.not_before = True, now
@@ -161,18 +178,22 @@
             return self.command(UNFOLLOW)
         if not self.follows and now >= self.follow_at:
             return self.command(FOLLOW)
+        if self.follows and not self.parts and (ballot := self.ballot) is not None:
+            return self.command(VOTE, *ballot)
         if self.parts:
             return self.ask(STATE, "GET", f"/v1/state/{self.parts[0]}", part=self.parts[0])
         path = f"/v1/events?after={self.at}&gateway={self.me}&since={self.since}&parts={','.join(ASKED)}"
         return self.ask(EVENTS, "GET", path)
 
-    def command(self, kind):
+    def command(self, kind, number=0, fields=None):
         """The same id until it is answered: done once, whichever members were asked."""
-        told = {"id": f"{self.me}/{kind}/{self.boot}/{self.number}", "kind": kind, "gateway": self.me}
-        return self.ask(kind, "POST", "/v1/commands", json.dumps(told).encode())
+        number = number or self.number
+        told = {"id": f"{self.me}/{kind}/{self.boot}/{number}", "kind": kind, "gateway": self.me}
+        body = json.dumps({**told, **(fields or {})}).encode()
+        return self.ask(kind, "POST", "/v1/commands", body, number=number)
 
-    def ask(self, what, method, path, body=b"", part=""):
-        return Ask(what, self.member, self.members[self.member], method, path, body, part)
+    def ask(self, what, method, path, body=b"", part="", number=0):
+        return Ask(what, self.member, self.members[self.member], method, path, body, part, number)
 
     # ---- inside
 
--- a/lemonlead/following/driver.py
+++ b/lemonlead/following/driver.py
@@ -7,11 +7,12 @@
 import threading
 import time
 
+from .. import interface
 from ..gateway import http
 from ..gateway.place import address, now
 from ..gateway.upkeep import CONNECTS, REASONS
 from . import words
-from .course import FOLLOW, STATE, UNFOLLOW, Course
+from .course import FOLLOW, STATE, UNFOLLOW, VOTE, Course
 from .faults import Unusable
 from .merge import Merge
 
@@ -46,8 +47,16 @@
         me, members = checked(told, place.name)
         self.desk, self.log, self.counters = desk, log, counters
         self.wait = told.get("wait", 0) / 1e9  # seconds that a start waits for the first state
-        self.merge, self.parts = Merge(), []
-        self.course = Course(me, os.urandom(6).hex(), members, place.start.seed)
+        moves = "service" in told or "far" in told
+        self.heeds = words.ASKED if moves else words.PARTS
+        more = ("moves",) if moves else ()
+        self.course = Course(me, os.urandom(6).hex(), members, place.start.seed, more)
+        self.merge, self.parts, self.service = Merge(), [], None
+        if moves:
+            from .service import Service  # not imported while no moves are followed
+
+            self.merge = self.service = Service(told, place, desk, self.course, log, counters)
+            self.news = place.news
         self.sock = self.at = None  # the connection that stands, and to where
         self.first, self.woken, self.over = threading.Event(), threading.Event(), threading.Event()
         self.obeyed, self.leaves, self.last = ("", -1), False, ""  # obeyed: cluster and index
@@ -57,8 +66,12 @@
         once the ledger was heard or `wait` is over: a gateway that is not waited for should send nothing,
         and one that hears nothing should serve."""
         with self.desk.lock:
-            self.merge.listed(lines, addresses, True)
             self.discovery, discovery.merge = discovery, self.merge
+            if self.service is not None:
+                self.service.begin(now(), self.news)
+            shown = self.merge.listed(lines, addresses, True)
+            if self.service is not None:
+                discovery.put(now(), *shown, True, False)
         threading.Thread(target=self.run, daemon=True).start()
         if self.wait and not self.first.wait(self.wait):
             self.counters.add("ledger unheard at start")
@@ -116,7 +129,7 @@
         if status == 503 or status in (301, 302, 307, 308):
             self.course.failed(now(), words.leader(told), told)
             return "passed on"
-        if ask.what in (FOLLOW, UNFOLLOW):
+        if ask.what in (FOLLOW, UNFOLLOW, VOTE):
             return self.commanded(ask, status, told)
         if ask.what == STATE and status in (400, 404) and ask.part != "nodes":
             return self.state(ask, words.unshown(ask.part))
@@ -143,6 +156,10 @@
     def commanded(self, ask, status, told):
         if ask.what == UNFOLLOW and status in (200, 400, 409):
             self.course.unfollowed()
+        elif ask.what == VOTE and status in (200, 400, 409):
+            outcome = interface.COUNTED if status == 200 else interface.MOOT
+            self.desk.tell(self.service.voted, ask.number, outcome)
+            self.course.voted(ask.number)
         elif status == 200:
             since = words.whole_number(told, "at")
             if not self.heeded(told):
@@ -166,7 +183,7 @@
         return ""
 
     def events(self, ask, told):
-        if (news := words.events(told, self.course.at)) is None:
+        if (news := words.events(told, self.course.at, self.heeds)) is None:
             self.course.kept_no_more()
             return ""
         if news.at < self.course.at:
@@ -280,5 +297,6 @@
     def figures(self):
         counts = {f"ledger {name}": count for name, count in self.course.counts.items()}
         counts |= {"ledger index": self.course.at, "ledger unheard ms": self.course.unheard(now())}
+        counts |= self.service.figures() if self.service is not None else {}
         return {**counts, "ledger held back": self.merge.held_back()}
 
--- /dev/null
+++ b/lemonlead/following/service.py
@@ -0,0 +1,150 @@
+"""A gateway's part in the moves of its service: what discovery, the ledger and the platform say passes here
+on its way to the one balancer, and its votes on the way back. Imported only where a service is named.
+
+All of it runs under the desk's lock; what is decided is decided in `sides.py`."""
+
+from .. import interface as at
+from ..gateway.place import now as clock
+from .faults import Unusable
+from .merge import Merge
+from .sides import Sides
+
+WORDS = {at.ON: "on", at.BACK: "back"}  # the ledger knows no vote to hold
+
+
+def checked(told, place):
+    """The service and, by cluster, the zones of its instances there; Unusable where that can't be."""
+    release, far, taken = place.start.release, {}, {}
+    if not told.get("far"):
+        raise Unusable("follow.service is told, and follow.far names no cluster")
+    if release.control == "automatic" or release.window <= 0:
+        raise Unusable("follow.service: builds go by the clock here, or without a window: no stage is judged")
+    for cluster, text in told["far"].items():
+        named = {name for name in place.zones if name == text or text.endswith("*") and fits(name, text)}
+        if not named:
+            raise Unusable(f"follow.far.{cluster}: no zone {text} among {', '.join(sorted(place.zones))}")
+        for name in sorted(named):
+            if name in taken:
+                raise Unusable(f"follow.far: zone {name} is of {taken[name]} and of {cluster}")
+            taken[name] = cluster
+        far[cluster] = {place.zones[name] for name in named}
+    if set(taken) == set(place.zones):
+        raise Unusable("follow.far: every zone is another cluster's")
+    return told["service"], far
+
+
+def fits(name, text):
+    return name.startswith(text[:-1])
+
+
+class Service:
+    """As `merge.Merge` for discovery and the follower, as the balancer for the platform's news, as the
+    platform for votes. `course`: what the ledger is to be told goes there."""
+
+    def __init__(self, told, place, desk, course, log, counters):
+        self.sides, self.merge = Sides(*checked(told, place)), Merge()
+        self.desk, self.course, self.log, self.counters = desk, course, log, counters
+        self.cast = self.logged = None  # the ballot that waits for the ledger's answer; what was last logged
+
+    def begin(self, now, news):
+        """`news`: the platform's, as the balancer was told at the start, or None."""
+        if news is not None:
+            self.sides.platform_told(now, *news)
+            self.sides.stage(now)
+        self.desk.service = self
+
+    # ---- lists
+
+    def listed(self, lines, addresses, whole):
+        self.sides.listed(*self.merge.listed(lines, addresses, whole), whole)
+        return self.shown(clock(), whole)
+
+    def heard(self, now, news):
+        told = self.merge.heard(now, news)
+        if told is None:
+            return None
+        self.sides.listed(*told, False)
+        self.sides.heard(news.changes)
+        return self.shown(now, False)
+
+    def shown(self, now, whole=False, again=False):
+        """What of the list the balancer is to be told; of builds it is told here."""
+        if (stage := self.sides.stage(now, again)) is not None:
+            self.desk.balancer.stage_told(now, *stage)
+        self.say()
+        if self.sides.lost is not None:
+            self.tell_ledger((*self.sides.lost, "back"), False)
+        return self.sides.changes(whole)
+
+    def say(self):
+        """One log line each time that the share changes, or why it is what it is."""
+        sides, move = self.sides, self.sides.move
+        if move is None:
+            return
+        more = {"move": sides.name, "to": move["to"], "step": move["step"], "stage": move["stage"]}
+        more |= {"share": sides.share(), "waits": sides.waits()}
+        if more != self.logged:
+            self.logged = more
+            self.desk.chores.append((self.tell, more))
+
+    def tell(self, more):
+        self.log.info("shift", **more)
+
+    def held_back(self):
+        return self.merge.held_back()
+
+    # ---- the platform's side
+
+    def stage_told(self, now, *news):
+        self.sides.platform_told(now, *news)
+        self.put(now, self.shown(now, again=True))
+
+    def put(self, now, told):
+        if told[0]:
+            self.desk.discovery.put(now, *told, False, False)
+
+    def ended(self, now, send, end):
+        self.counters.add(f"shift sends {'far' if send.instance.zone in self.sides.abroad else 'near'}")
+        before = self.sides.lost
+        self.sides.ended(send.instance.zone, end)
+        if self.sides.lost != before:
+            self.counters.add("shift far lost")
+            self.put(now, self.shown(now))
+
+    # ---- votes
+
+    def vote(self, build, stage, verdict):
+        cast = self.sides.vote(build, stage)
+        if cast is None:
+            return self.desk.releases.vote(build, stage, verdict)
+        held = verdict not in WORDS or verdict == at.ON and self.sides.doubtful()
+        outcome = at.COUNTED if held else self.tell_ledger((*cast, WORDS[verdict]), True)
+        if outcome is not None:
+            self.desk.chores.append((self.desk.tell, self.desk.balancer.vote_answered, outcome))
+
+    def tell_ledger(self, vote, asked):
+        """What became of a vote, (epoch, stage, word), where that is known at once; else None. `asked`: the
+        balancer waits for the answer."""
+        if not self.sides.stands(*vote[:2]):
+            return at.MOOT
+        if vote == self.sides.known:
+            return at.COUNTED
+        if self.cast is None or vote != self.cast[1]:
+            self.counters.add(f"shift votes {vote[2]}")
+            names = {"move": self.sides.name, "epoch": vote[0], "stage": vote[1], "verdict": vote[2]}
+            self.cast = self.course.vote(names), vote, asked
+        return None
+
+    def voted(self, now, number, outcome):
+        """The ledger's answer to a ballot."""
+        self.counters.add(f"shift votes {outcome}")
+        if self.cast is None or self.cast[0] != number:
+            return
+        (_, vote, asked), self.cast = self.cast, None
+        if outcome == at.COUNTED:
+            self.sides.voted(vote)
+        if asked and self.sides.shifts():
+            self.desk.balancer.vote_answered(now, outcome)
+
+    def figures(self):
+        return {"shift share": self.sides.share(), "shift waits": int(bool(self.sides.waits()))}
--- a/lemonlead/following/words.py
+++ b/lemonlead/following/words.py
@@ -65,12 +65,19 @@
         state, out, warm = value.get("state", "serving"), value.get("out", ""), value.get("warm", 0)
         if type(state) is not str or type(out) is not str or type(warm) is not int:
             raise Unreadable(f"no node: {key}"[:100])
+    if part == "moves" and value is not None:
+        texts = [value.get(name) for name in ("service", "to", "step")]
+        numbers = [value.get(name) for name in ("epoch", "stage", "share", "at")]
+        if any(type(text) is not str for text in texts) or any(type(one) is not int for one in numbers):
+            raise Unreadable(f"no move: {key}"[:100])
+        if not 0 <= value["share"] <= 1000:
+            raise Unreadable(f"a move's share: {value['share']}"[:100])
     return part, key, value
 
 
-def events(told, after):
-    """News of what came after an index; None where that is kept no more and the whole has to be asked
-    for."""
+def events(told, after, parts=PARTS):
+    """News of these parts of what came after an index; None where that is kept no more and the whole has to
+    be asked for."""
     if told.get("events") is None:
         if told.get("whole") is None:
             raise Unreadable("neither events nor whole")
@@ -80,20 +87,20 @@
         if type(event) is not dict:
             raise Unreadable("an event that is none")
         last = whole_number(event, "index", last + 1)
-        changes += changed(event.get("changes"))
+        changes += changed(event.get("changes"), parts)
     if last > max(at, after):
         raise Unreadable(f"an event of entry {last} in an answer up to {at}")
     return News(at, changes, moment=moment(told), cluster=cluster(told))
 
 
-def changed(told):
+def changed(told, parts):
     """Changes as a list of objects with `part`, `key` and `record`, of the parts that are heeded."""
     if type(told) is not list:
         raise Unreadable("an event without changes")
     for one in told:
         if type(one) is not dict or type(one.get("part")) is not str:
             raise Unreadable("a change that is none")
-        if one["part"] in PARTS:
+        if one["part"] in parts:
             yield record(one["part"], one.get("key"), one.get("record"))
 
 
--- a/lemonlead/gateway/desk.py
+++ b/lemonlead/gateway/desk.py
@@ -27,6 +27,7 @@
         self.asks = {}  # the lookups that want an answer: by lookup, the client's command
         self.chores = []
         self.instances = self.discovery = self.releases = None  # the drivers, set before the first call
+        self.service = None  # between the platform and the balancer, where a service's moves are followed
         self.wake = 0  # when the timer is to ask again
 
     # ---- for the drivers
@@ -108,8 +109,14 @@
         if end == at.SUCCEEDED and send.lookup in self.asks:
             self.answer(send.lookup, "succeeded", resp.bulk(value))
         self.counters.add(f"sends {end}")
+        if self.service is not None:
+            self.service.ended(moment, send, end)
         self.balancer.send_ended(moment, send, end, moment - send.at, send.lookup not in self.asks, {})
 
+    def stage_told(self, moment, *news):
+        """The platform's news of the newest build."""
+        (self.service or self.balancer).stage_told(moment, *news)
+
     def may_begin(self, send):
         with self.lock:
             return send.lookup in self.asks and self.balancer.may_begin(now(), send)
@@ -150,7 +157,7 @@
 
     def vote(self, build, stage, verdict):
         self.counters.add("votes")
-        self.releases.vote(build, stage, verdict)
+        (self.service or self.releases).vote(build, stage, verdict)
 
     def log(self, text):
         self.chores.append((self.log_line.info, text))
--- a/lemonlead/gateway/releases.py
+++ b/lemonlead/gateway/releases.py
@@ -37,7 +37,7 @@
         while (words := self.words(sock, reader)) is not None:
             if words[:2] == ["*", "stage"]:
                 self.counters.add("news told")
-                self.desk.tell(self.desk.balancer.stage_told, *platform.stage(words[2:]))
+                self.desk.tell(self.desk.stage_told, *platform.stage(words[2:]))
                 self.upkeep.worked()
             elif words not in (["*"], ["OK"]):
                 raise platform.Malformed("no news: " + " ".join(words)[:100])
@@ -83,4 +83,4 @@
     def answered(self, now, outcome, news):
         self.desk.balancer.vote_answered(now, outcome)
         if news is not None:
-            self.desk.balancer.stage_told(now, *news)
+            self.desk.stage_told(now, *news)
