--- a/lemonlead/following/service.py
+++ b/lemonlead/following/service.py
@@ -15,8 +15,8 @@
 def checked(told, place):
     """The service and, by cluster, the zones of its instances there; Unusable where that can't be."""
     release, far, taken = place.start.release, {}, {}
-    if not told.get("far"):
-        raise Unusable("follow.service is told, and follow.far names no cluster")
+    if not told.get("far") or not told.get("service"):
+        raise Unusable("of follow.service and follow.far only one is told")
     if release.control == "automatic" or release.window <= 0:
         raise Unusable("follow.service: builds go by the clock here, or without a window: no stage is judged")
     for cluster, text in told["far"].items():
