--- a/lemonlead/following/service.py
+++ b/lemonlead/following/service.py
@@ -60,9 +60,11 @@
         return self.shown(clock(), whole)
 
     def heard(self, now, news):
-        told = self.merge.heard(now, news)
+        before, told = self.merge.cluster, self.merge.heard(now, news)
         if told is None:
             return None
+        if before and self.merge.cluster != before:
+            self.sides.anew()
         self.sides.listed(*told, False)
         self.sides.heard(news.changes)
         return self.shown(now, False)
--- a/lemonlead/following/sides.py
+++ b/lemonlead/following/sides.py
@@ -28,6 +28,7 @@
         self.lines, self.addresses = {}, {}  # by id, as discovery and the ledger's word on nodes have them
         self.shown = {}  # by id: (line, address) as the balancer was last told
         self.name, self.move = "", None  # the newest record of the service
+        self.first, self.past = FIRST, False  # of the cluster that is followed; if `move` is of one before it
         self.news, self.began = None, 0  # the platform's, but for its age; when its stage began
         self.told = None  # what the balancer was last told, likewise
         self.ends = {False: deque(maxlen=LOOKED), True: deque(maxlen=LOOKED)}  # by far: whether it was lost
@@ -54,13 +55,19 @@
         for part, key, move in changes:
             if part != "moves" or move is None or move["service"] != self.service:
                 continue
-            if self.move is None or (move["epoch"], move["at"]) >= (self.move["epoch"], self.move["at"]):
+            newer = self.move is None or (move["epoch"], move["at"]) >= (self.move["epoch"], self.move["at"])
+            if newer or self.past:
                 before, self.trial = self.told_of(), None
-                self.name, self.move = key, move
+                self.name, self.move, self.past = key, move, False
                 if self.told_of() != before:
                     self.lost = None
                     self.ends[True].clear()
 
+    def anew(self):
+        """Another cluster is followed from now on, whose entries count from 1 again. Lookups go on as they
+        did until it has a move of the service."""
+        self.past, self.known, self.first = True, None, self.first + FIRST
+
     def platform_told(self, now, number, stage, phase, cap, age):
         if self.news is None or (stage, phase, number) != (self.news[1], self.news[2], self.news[0]):
             self.began = now - age
@@ -154,7 +161,7 @@
             if line.state == READY and id not in here and id not in there:
                 line, address = replace(line, state=DRAINING), (None, line.started)
             elif id in there and share < ALL:
-                line = replace(line, build=FIRST + self.move["epoch"])
+                line = replace(line, build=self.first + self.move["epoch"])
             shown[id] = line, address
         old, self.shown = self.shown, shown
         new = {id: told for id, told in shown.items() if whole or told != old.get(id)}
@@ -170,7 +177,7 @@
         told the same before."""
         share, age = self.share(), 0
         if 0 < share < ALL:
-            told = FIRST + self.move["epoch"], self.move["stage"], ON_TRIAL, share / ALL
+            told = self.first + self.move["epoch"], self.move["stage"], ON_TRIAL, share / ALL
         elif self.news is not None:
             told, age = self.news, now - self.began
         elif self.told is not None:  # the platform tells nothing: what is listed is the released build
@@ -185,11 +192,12 @@
 
     def vote(self, build, stage):
         """The epoch and stage that a vote on this build is of, or None where it is on a real one."""
-        return (build - FIRST, stage) if build >= FIRST else None
+        return (build - self.first, stage) if build >= FIRST else None
 
     def stands(self, epoch, stage):
         """Whether a vote on this still counts."""
-        return self.move is not None and self.move["step"] == SHIFTING and self.told_of() == (epoch, stage)
+        shifting = self.move is not None and self.move["step"] == SHIFTING and not self.past
+        return shifting and self.told_of() == (epoch, stage)
 
 
 def width(count, share):
--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -282,6 +282,18 @@
     assert not any(ran.far(moment + 1))
 
 
+def test_a_cluster_formed_anew_counts_from_one_again_and_lookups_go_on_as_they_did():
+    ran = Gateway(fleet()).hear(record(share=500, epoch=90))
+    whole = ("nodes", "permits", "moves")
+    for cluster, moves in (("a", [("moves", "m", record(share=900, epoch=90))]), ("b", [])):
+        news = News(1, moves, whole, 0, cluster)
+        ran.clocked(ran.desk.tell, lambda now, news=news: ran.obey(now, news))
+    assert ran.sides.share() == 900
+    news = News(2, [("moves", "n", record("asked", -1, 0, epoch=2))], (), 0, "b")
+    ran.clocked(ran.desk.tell, lambda now: ran.obey(now, news))
+    assert ran.sides.share() == 0 and not any(ran.run(0.5).far())
+
+
 def test_a_vote_that_the_ledger_has_is_not_told_again():
     ran = Gateway(fleet()).hear(record()).run(20)
     assert ran.verdicts() == ["on"]
