--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -95,10 +95,10 @@
     return time.thread_time() - began
 
 
-def schedules(count):
+def schedules(count, first=0):
     """How many of so many schedules broke something or did not end, the first such seeds, and the ends."""
     bad, ends = [], {}
-    for seed in range(count):
+    for seed in range(first, first + count):
         draw = random.Random(seed)
         world = made(seed)
         begin(world)
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -1,6 +1,7 @@
 """Moves between clusters: rules, the duty under every fault at every step, and checkers that catch faults
 put in on purpose."""
 
+import pathlib
 from dataclasses import replace
 
 import msgspec
@@ -12,7 +13,7 @@
 from lemonlead.ledger import capacity
 from lemonlead.ledger.faults import Refused
 from lemonlead.member import whole
-from lemonlead.moves import rules, steps
+from lemonlead.moves import faults, rules, steps
 from lemonlead.standins import two_clusters
 from lemonlead.standins.move_faults import FAULTS, NAMES, STEPS, awaited, begin, crossed, lossy, made, stop
 from lemonlead.standins.two_clusters import MS, SECOND, World, furnish, serve
@@ -389,6 +390,14 @@
     assert set(rules.INNER) <= set(found.inner)
 
 
+def test_each_error_says_what_to_do_and_is_on_the_page_for_on_call():
+    page = pathlib.Path("docs/oncall.md").read_text()
+    found = [one for one in vars(faults).values() if getattr(one, "__module__", "") == faults.__name__]
+    assert len(found) >= 11
+    for fault in found:
+        assert fault("found").read()["do"] != Refused("found").read()["do"] and f"`{fault.__name__}`" in page
+
+
 # ---- the checker catches faults put in on purpose
 
 
