--- a/benchmarks/followers.py
+++ b/benchmarks/followers.py
@@ -96,7 +96,7 @@
         """One change reaches every gateway; CPU seconds of all of it, and bytes told."""
         self.now += MS
         began = time.process_time()
-        self.command("reserve", reservation=f"r{self.number}", service="s", units=0, site="s")
+        self.command("node", node="n0", site="s", units=self.number)
         assert len(self.door.told) == len(self.names)
         size = sum(size for _, _, size in self.door.told)
         self.again()
--- a/lemonlead/ledger/desk.py
+++ b/lemonlead/ledger/desk.py
@@ -13,16 +13,18 @@
 
 from .faults import Senseless
 from .followers import Followers
+from .log import WEIGHT
+from .polls import Poll, Polls
 from .records import LEADER, NOT_DONE, Base, Write
 from .replica import Replica
 from .seating import Change
 from .state import Command, State
 
-SNAPSHOT_EVERY = 4096  # entries applied since the last snapshot
+SNAPSHOT_EVERY = 4096  # entries applied since the last snapshot, or as many as that one has records
+MOST_BEHIND = 32_768  # entries, which a start has to go through; however many records there are
+MOST_LOG = 64 * 1024 * 1024  # bytes of entries, which are in memory; however few they are
 LONGEST_APART = 4  # times as many, while a peer is being sent the last one
-MOST_EVENTS = 20_000  # changes kept for whoever asks for what came after an index
-MOST_POLLS = 2000  # calls that wait for the next change; past it one is answered at once, with nothing
-POLL = 2_000_000_000  # the longest that one waits
+MOST_POLLS = 2000  # calls that wait for the next change; past it one is answered at once
 TURNED_DOWN = 1_000_000_000  # before a duty's command that the rules refused is proposed again
 
 
@@ -75,26 +77,18 @@
     def wake_at(self) -> int: ...
 
 
-@dataclass(slots=True)
-class Poll:
-    until: int
-    after: int
-    ticket: object
-    parts: tuple  # that it asks for; empty for all
-
-
 class Desk:
     def __init__(self, told, kept, ledger, state, now, duties=(), snapshot_every=SNAPSHOT_EVERY):
         self.told, self.ledger, self.state, self.duties = told, ledger, state, list(duties)
         self.replica = Replica(told, kept, now)
         self.wall_ms, self.now, self.snapshot_every = 0, now, snapshot_every
-        self.events, self.earliest = deque(), state.index  # what came after `earliest` is in `events`
-        self.held = 0  # changes in `events`
-        self.touched = {}  # part to the entry that changed it last, since this desk began
-        self.polls, self.done = [], []  # calls that wait; answers that are ready: functions of the door
+        self.polls = Polls(state.index)
+        self.done = deque()  # answers that are ready: functions of the door
         self.codes = {}  # index to (code, body) of entries applied in this turn
         self.proposing = {}  # duty to the moment from which it may propose again; NEVER while one is out
         self.snapshotting, self.since = None, kept.base.index
+        self.records = state.records  # of the last snapshot
+        self.log_bytes = 0  # of the entries applied since it was begun
         self.office = 0  # the term in which the duties were told that this member leads
         self.followers = Followers()
         self.counts = {}
@@ -140,15 +134,16 @@
                 self.followers.polled(now, gateway, after, since)
             else:
                 self.count("polls of another stay")
-        until = now + POLL if len(self.polls) < MOST_POLLS else now
-        self.polls.append(Poll(until, after, ticket, parts))
+        if len(self.polls) >= MOST_POLLS:
+            self.count("polls answered at once")
+            return self.done.append(lambda door: self.answer_poll(Poll(now, after, ticket, parts), door))
+        self.polls.wait(now, after, ticket, parts)
 
     def written(self, now, number, state=None):
         """`state`: that of the snapshot which this write put in force, where it did."""
         if state is not None and state.index > self.state.index:
-            self.state, self.since = state, state.index
-            self.events.clear()
-            self.earliest, self.held = state.index, 0
+            self.state, self.since, self.records = state, state.index, state.records
+            self.polls.restart(state.index)
         self.replica.written(now, number)
 
     def disk_failed(self, now, why):
@@ -169,7 +164,7 @@
 
     def decide(self, now, door):
         if self.done:
-            self.done.pop(0)(door)
+            self.done.popleft()(door)
             return True
         if self.replica.decide(now, Through(self, door)):
             return True
@@ -178,41 +173,24 @@
         return self.answer_polls(now, door) or self.take_snapshot(door) or self.do_duties(now, door)
 
     def answer_polls(self, now, door):
-        for poll in self.polls:
-            if poll.until <= now or self.changed(poll):
-                self.polls.remove(poll)
-                at, leader = self.state.index, self.replica.leader
-                if poll.after < self.earliest:
-                    door.polled(poll.ticket, None, at, self.state, leader)
-                else:
-                    door.polled(poll.ticket, self.news(poll), at, None, leader)
-                return True
-        return False
+        poll = self.polls.next(now)
+        if poll is not None:
+            self.answer_poll(poll, door)
+        return poll is not None
 
-    def changed(self, poll):
-        """Whether there is news for it, or what it asks for is kept no more."""
-        if poll.after < self.earliest:
-            return True
-        return any(self.touched.get(part, 0) > poll.after for part in poll.parts or self.touched)
-
-    def news(self, poll):
-        """Changes after its index, of the parts that it asks for."""
-        found, parts = [], poll.parts
-        for index, changes in reversed(self.events):
-            if index <= poll.after:
-                break
-            if parts:
-                changes = {key: record for key, record in changes.items() if key[0] in parts}
-            if changes:
-                found.append((index, changes))
-        return found[::-1]
+    def answer_poll(self, poll, door):
+        events, at, leader = self.polls.news(poll), self.state.index, self.replica.leader
+        door.polled(poll.ticket, events, at, self.state if events is None else None, leader)
 
     def take_snapshot(self, door):
         applied = self.state.index - self.since
-        if self.snapshotting is not None or applied < self.snapshot_every:
+        if self.snapshotting is not None or applied < self.snapshot_every and self.log_bytes < MOST_LOG:
             return False
-        if self.replica.sends_snapshot() and applied < LONGEST_APART * self.snapshot_every:
+        due = max(self.snapshot_every, min(self.records, MOST_BEHIND))
+        apart = LONGEST_APART if self.replica.sends_snapshot() else 1
+        if applied < due * apart and self.log_bytes < MOST_LOG * apart:
             return False
+        self.log_bytes, self.records = 0, self.state.records
         members = self.replica.seats_at(self.state.index)
         self.snapshotting = Base(self.state.index, self.state.term, members, self.state.moment)
         door.snapshot(self.state, self.snapshotting)
@@ -242,7 +220,9 @@
         return False
 
     def wake_at(self):
-        moments = [self.replica.wake_at(), *(poll.until for poll in self.polls)]
+        moments = [self.replica.wake_at()]
+        if len(self.polls):
+            moments.append(self.polls.wake_at())
         if self.replica.role == LEADER:
             moments += [max(duty.wake_at(), self.proposing.get(duty, 0)) for duty in self.duties]
         return min(moments)
@@ -253,13 +233,9 @@
         for entry in entries:
             self.state, applied = self.ledger.apply(self.state, entry)
             self.codes[entry.index] = applied.code, applied.body
+            self.log_bytes += len(entry.data) + WEIGHT
             if applied.changes and applied.code == 200:
-                self.events.append((entry.index, applied.changes))
-                self.held += len(applied.changes)
-                self.touched.update((part, entry.index) for part, _ in applied.changes)
-        while self.held > MOST_EVENTS:
-            self.earliest, changes = self.events.popleft()
-            self.held -= len(changes)
+                self.polls.add(entry.index, applied.changes)
 
     def committed(self, ticket, index, door):
         code, body = self.codes[index]
--- a/lemonlead/ledger/state.py
+++ b/lemonlead/ledger/state.py
@@ -82,6 +82,11 @@
     def terms(self):
         return self.part("terms").get("cluster", TERMS)
 
+    @property
+    def records(self):
+        """How many there are in all, remembered ids among them: what a snapshot costs goes by it."""
+        return sum(map(len, self.parts.values())) + len(self.answers)
+
     @property
     def full(self):
         return len(self.answers) >= MOST_ANSWERS
@@ -236,7 +241,7 @@
             "moment": state.moment,
             "wall_ms": state.wall_ms,
             "oldest": state.oldest,
-            "count": sum(map(len, state.parts.values())) + len(state.answers),
+            "count": state.records,
         }
         yield ENCODE({"head": head}) + b"\n"
         for name in sorted(state.parts):
--- a/lemonlead/member/run.py
+++ b/lemonlead/member/run.py
@@ -287,7 +287,7 @@
         now["connections"] = len(self.runner.server.connections) if self.runner.server else 0
         if host is not None:
             tables += [("loop", host.counts), ("desk", host.desk.counts), ("raft", host.desk.replica.counts)]
-            now.update(inbox=len(host.messages), inputs=len(host.inputs), held_events=host.desk.held)
+            now.update(inbox=len(host.messages), inputs=len(host.inputs), held_events=host.desk.polls.held)
             now["ids"] = len(host.desk.state.answers)
         for name, table in [*tables, ("now", now)]:
             told.update({f"{name}_{what}".replace(" ", "_").replace(":", ""): n for what, n in table.items()})
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -1,9 +1,11 @@
 """A member's desk by itself, as the only member of a cluster: its disk is at once, or when a test says."""
 
 import msgspec
+import pytest
 
-from lemonlead.ledger import desk
-from lemonlead.ledger.desk import POLL, Desk
+from lemonlead.ledger import polls
+from lemonlead.ledger.desk import Desk
+from lemonlead.ledger.polls import POLL
 from lemonlead.ledger.records import LEADER, Kept, Seat, Told
 from lemonlead.ledger.seating import Terms, formed
 from lemonlead.member import whole
@@ -113,10 +115,46 @@
 
 
 def test_a_call_for_parts_after_what_is_kept_no_more_gets_the_whole_at_once(monkeypatch):
-    monkeypatch.setattr(desk, "MOST_EVENTS", 1)
+    monkeypatch.setattr(polls, "MOST_EVENTS", 1)
     world = World()
     at = world.desk.state.index
     for name in ("a", "b", "c"):
         world.command("reserve", reservation=name, service="s", units=1, nodes=["n1"])
     events, upto, state = world.poll("behind", at, parts=("nodes",))
     assert events is None and state.index == upto == at + 3
+
+
+def test_a_poll_past_the_bound_is_answered_at_once(monkeypatch):
+    monkeypatch.setattr("lemonlead.ledger.desk.MOST_POLLS", 2)
+    world = World()
+    at = world.desk.state.index
+    assert [world.poll(ticket, at) for ticket in "ab"] == [None, None]
+    assert world.poll("c", at) == ([], at, None)
+    assert world.desk.counts["polls answered at once"] == 1
+    world.command("node", node="n2", site="s", units=5)
+    assert world.door.told.keys() == {"a", "b", "c"}
+
+
+def test_snapshots_are_as_far_apart_as_the_state_is_large():
+    world = World(snapshot_every=4)
+    taken, records = 1, 0
+    for number in range(90):
+        world.command("node", node=f"n{number + 2}", site="s", units=5)
+        if ("snapshot", world.desk.state.index) in world.door.asked:
+            assert world.desk.state.index - taken == max(4, records)
+            taken, records = world.desk.state.index, world.desk.state.records
+            world.desk.snapshot_kept(world.now, world.desk.snapshotting)
+    assert 2 <= sum(what == "snapshot" for what, _ in world.door.asked) <= 5
+
+
+@pytest.mark.parametrize("bound, value", [("MOST_BEHIND", 8), ("MOST_LOG", 900)])
+def test_the_log_stays_short_however_large_the_state(monkeypatch, bound, value):
+    monkeypatch.setattr(f"lemonlead.ledger.desk.{bound}", value)
+    world, longest, since = World(snapshot_every=5), 0, 0
+    for number in range(200):
+        world.command("node", node=f"n{number + 2}", site="s", units=5)
+        longest = max(longest, world.desk.state.index - since)
+        if world.desk.snapshotting is not None:
+            since = world.desk.snapshotting.index
+            world.desk.snapshot_kept(world.now, world.desk.snapshotting)
+    assert longest <= 8
