--- a/lemonlead/following/driver.py
+++ b/lemonlead/following/driver.py
@@ -157,6 +157,8 @@
         if ask.what == UNFOLLOW and status in (200, 400, 409):
             self.course.unfollowed()
         elif ask.what == VOTE and status in (200, 400, 409):
+            if status == 200 and not self.heeded(told):
+                return self.unheeded(told)
             outcome = interface.COUNTED if status == 200 else interface.MOOT
             self.desk.tell(self.service.voted, ask.number, outcome)
             self.course.voted(ask.number)
--- a/lemonlead/standins/followed.py
+++ b/lemonlead/standins/followed.py
@@ -21,8 +21,8 @@
     def __init__(self):
         self.changed = threading.Condition()
         self.at, self.kept, self.moment, self.id = 1, 1, 0, "c1"
-        self.parts = {"nodes": {}, "permits": {}, "followers": {}, "members": {}}
-        self.reports = []  # (node, state)
+        self.parts = {"nodes": {}, "permits": {}, "followers": {}, "members": {}, "moves": {}}
+        self.reports, self.votes = [], []  # (node, state); votes on moves, as they were told
         self.events, self.ids, self.polls, self.counts = [], {}, {}, Counter()
         self.leader = None  # the server that leads; None: each of them
 
@@ -76,6 +76,12 @@
                 self.changed.notify_all()
                 answer = self.ids[told["id"]] = 200, {"cluster_id": self.id, "at": self.at}
                 return answer
+            if told["kind"] == "move_vote":
+                self.votes.append(told)
+                self.changed.notify_all()
+                status = 200 if told["gateway"] in self.parts["followers"] else 409
+                answer = self.ids[told["id"]] = status, {"cluster_id": self.id, "at": self.at}
+                return answer
             record = {"since": self.at + 1} if told["kind"] == "follow" else None
             body = {"cluster_id": self.id, "at": self.put("followers", told["gateway"], record)}
             answer = self.ids[told["id"]] = 200, body
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import zlib
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -376,17 +377,20 @@
 class Ran:
     """A follower among the gateway's own parts, with no lookups; `lists` has what the balancer was told."""
 
-    def __init__(self, *addresses, wait=0, lines=("i0", "i1")):
-        start = started_by(SETTINGS, 7, place.now())
-        where = SimpleNamespace(start=start, connections=8, discovery=("", 1), name="g0", zones={}, kinds={})
+    def __init__(self, *addresses, wait=0, lines=("i0", "i1"), **more):
+        start, zones = started_by(SETTINGS, 7, place.now()), {"here": 0, "there": 1}
+        where = SimpleNamespace(start=start, connections=8, discovery=("", 1), name="g0", kinds={})
+        where.zones, where.news = zones, (1, 0, at.RELEASED, 1.0, 0)
         self.log, self.counters, self.lists = Log(), Counters(), []
         self.desk = Desk(start, self.log, self.counters)
         self.desk.instances = Instances(where, self.desk, Crew(), self.log, self.counters)
         self.discovery = Discovery(where, self.desk, self.log, self.counters)
-        told = {"members": {f"m{n + 1}": one for n, one in enumerate(addresses)}, "wait": wait}
+        told = {"members": {f"m{n + 1}": one for n, one in enumerate(addresses)}, "wait": wait, **more}
         self.follower = driver.Follower(where, told, self.desk, self.log, self.counters)
-        known = [line(id) for id in lines], {id: (("127.0.0.1", 1), 0) for id in lines}
+        listed = [replace(line(id), zone=int(id[0] == "f")) for id in lines]
+        known = listed, {id: (("127.0.0.1", 1), 0) for id in lines}
         self.discovery.listed(place.now(), 1, *known, True, True)
+        self.desk.balancer.stage_told(place.now(), *where.news)
         put = self.desk.balancer.listed
         self.desk.balancer.listed = lambda *told: (self.lists.append(told), put(*told))
         self.follower.start(self.discovery, *known)
--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -13,6 +13,7 @@
 from types import SimpleNamespace
 
 import pytest
+import test_following
 import test_moves
 from helpers import MS, NOW, lane
 from hypothesis import given, settings
@@ -439,6 +440,69 @@
                     assert sent <= 2 + 3 + 0.1 * (len(ran.asked) - max(arrived - 203, 0))
 
 
+# ---- the driver
+
+ledger = test_following.ledger  # the fixture
+
+
+@pytest.fixture
+def ran(ledger):
+    """A follower of a ledger that is a test's, with two near and two far instances."""
+    ran = ledger.follow(lines=("i0", "i1", "f0", "f1"), service="search", far={"ebene": "there"})
+    ledger.acknowledged("g0", 3)
+    assert ran.ready() == ["i0", "i1"]
+    return ran
+
+
+def cast(ran, verdict, stage=1, epoch=7):
+    ran.desk.tell(lambda now: ran.desk.vote(FIRST + epoch, stage, verdict))
+
+
+def test_once_a_move_back_is_acknowledged_no_far_instance_may_be_sent_to(ledger, ran):
+    ledger.acknowledged("g0", ledger.put("moves", "m", record(share=500)))
+    assert [id[0] for id in ran.ready()] == ["f", "i"]
+    ledger.acknowledged("g0", ledger.put("moves", "m", record("going back", 1, 0, at=30)))
+    assert ran.ready() == ["i0", "i1"] and ran.desk.balancer.told.number == 1
+    ledger.acknowledged("g0", ledger.put("moves", "n", record(share=1000, epoch=40, at=41)))
+    assert ran.ready() == ["f0", "f1"]
+    ledger.forget()  # and one that starts anew, or lost the changes, has it from the whole state
+    ledger.acknowledged("g0", ledger.put("moves", "n", record("done", 4, 1000, epoch=40, at=41)))
+    assert ran.ready() == ["f0", "f1"]
+
+
+def test_a_vote_whose_answer_is_lost_is_told_again_under_the_same_id_and_counts_once(ledger, ran):
+    ledger.acknowledged("g0", ledger.put("moves", "m", record(share=500)))
+    cast(ran, at.HOLD)
+    for server in ledger.servers:
+        server.wrong.append(lambda path, body: body and (ledger.command(json.loads(body)), None)[1])
+    cast(ran, at.ON)
+    until(lambda: ran.count("shift votes counted") == 1, "the vote is counted")
+    cast(ran, at.ON)
+    cast(ran, at.BACK)
+    until(lambda: ran.count("shift votes counted") == 2, "the other vote is counted")
+    told = [(vote["move"], vote["epoch"], vote["stage"], vote["verdict"]) for vote in ledger.votes]
+    assert told == [("m", 7, 1, "on"), ("m", 7, 1, "back")]
+
+
+def test_a_vote_on_a_stage_that_is_over_is_told_to_nobody(ledger, ran):
+    ledger.acknowledged("g0", ledger.put("moves", "m", record(stage=2, share=500)))
+    cast(ran, at.BACK)
+    ledger.acknowledged("g0", ledger.put("moves", "m", record("going back", 2, 0, at=30)))
+    cast(ran, at.BACK, stage=2)
+    ledger.acknowledged("g0", ledger.node("i0"))
+    assert ledger.votes == []
+
+
+@pytest.mark.parametrize("field, value", [("share", 1001), ("share", "x"), ("epoch", None), ("to", 3)])
+def test_a_record_that_cannot_be_read_ends_the_call_and_nothing_else(ledger, ran, field, value):
+    ledger.put("moves", "m", {**record(share=500), field: value})
+    until(lambda: ran.follower.course.counts["failures"], "it was read")
+    assert ran.ready() == ["i0", "i1"]
+    ledger.put("moves", "m", record(share=1000))
+    ledger.forget()
+    until(lambda: ran.ready() == ["f0", "f1"], "it hears again")
+
+
 # ---- whole programs
 
 
