--- a/lemonlead/standins/simulated/hosts.py
+++ b/lemonlead/standins/simulated/hosts.py
@@ -174,7 +174,6 @@
     def wipe(self):
         """The machine is lost with its disk, for good."""
         self.kill()
-        self.world.count("wipes")
         self.gone = True
         self.cluster.tell("wiped", self)
 
--- a/lemonlead/standins/simulated/schedules.py
+++ b/lemonlead/standins/simulated/schedules.py
@@ -232,6 +232,7 @@
         if self.operator.busy or host in self.impostors:
             return None
         host.wipe()
+        self.world.count("wipes")
         self.operator.lost(host.name, trouble.length * MS)
         return host
 
