--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -544,7 +544,8 @@
             return HOLD if build.doubt and build.phase == ON_TRIAL else None
         # Unjudged once a pair stood open for two pairs' time; a lagging list must pass nothing unmet.
         unmet = not build.pairs and (self.pair_at is None or now < self.pair_at + 2 * PAIR)
-        if now < build.began + self.stage_time or unmet or build.doubt:
+        # Nor by one whose list is old: on means that earlier machines go, and it may know none to come.
+        if now < build.began + self.stage_time or unmet or build.doubt or self.ask_at is not None:
             return None
         # Errors too few for most pairs, as of a build that fails late, hold it all the same.
         earlier, ours, *_ = erring(list(build.seen) + self.pooled(True), self.pooled(False))
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -370,6 +370,17 @@
     assert costs[0] > 3 * costs[1]
 
 
+@pytest.mark.parametrize("heard, verdict", [(True, at.ON), (False, None)])
+def test_a_balancer_whose_watch_broke_votes_no_stage_on_until_a_list_has_come(heard, verdict):
+    """Guards against a build that is released while discovery is down: nobody knows its machines then."""
+    made = trial()
+    made.pair_at = NOW
+    made.list_failed(NOW)
+    if heard:
+        made.listed(NOW, [], False, True)
+    assert made.verdict(made.judged, NOW + 9 * SECOND) == verdict
+
+
 @pytest.mark.parametrize("listed, verdict", [(True, at.ON), (False, None)])
 def test_a_build_that_nobody_met_is_not_voted_on(listed, verdict):
     made, desk = balancer([line(1), line(2)], told=(2, 0, at.ON_TRIAL, 0.1)), Desk()
