--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -42,7 +42,8 @@
 FAULTS = ("kill", "pause", "cut")
 CLIENTS = (1, 8, 64)
 HELD = (1_000, 10_000, 100_000)
-GATEWAYS = (0, 100, 500)
+GATEWAYS = (100, 500)
+HEEDED = "&parts=nodes,permits,followers,members,moves"  # as gateways ask
 SERVICES = 40
 NUMBERS = itertools.count()  # of ids, over the whole run
 
@@ -433,16 +434,18 @@
 # ---- polls
 
 
-async def polling(address, gateways, over, told):
-    """Gateways that follow and poll, each on a connection of its own, until `over`."""
+async def polling(address, gateways, parts, over, told):
+    """Gateways that follow and poll for these parts, each on a connection of its own, until `over`."""
 
     async def one(name):
         caller, after = await Caller.to(address), 0
-        await caller.ask("POST", "/v1/commands", {"id": f"f/{name}", "kind": "follow", "gateway": name})
-        code, body = await caller.ask("GET", "/v1/state/members")
-        after = msgspec.json.decode(body)["at"]
+        follow = {"id": f"f/{name}", "kind": "follow", "gateway": name}
+        code, body = await caller.ask("POST", "/v1/commands", follow)
+        since = after = msgspec.json.decode(body)["at"]
         while not over.is_set():
-            code, body = await caller.ask("GET", f"/v1/events?after={after}&gateway={name}")
+            code, body = await caller.ask(
+                "GET", f"/v1/events?after={after}&gateway={name}&since={since}{parts}"
+            )
             if code == 200:
                 after = msgspec.json.decode(body)["at"]
                 told.append(after)
@@ -452,42 +455,46 @@
 
 
 def polls(told):
-    """The gateways poll for all that changes, so that each command wakes each of them: the worst there is."""
-    rounds, each = told.count or 3, {}
-    print("polls: one member, one client that has 20 commands a second done, while gateways poll")
-    for gateways in GATEWAYS:
-        with Cluster(told.place / f"polls-{gateways}", ["g1"], times=TOLD) as cluster:
+    """Reservations, which wake no gateway that asks for its parts; and for all that changes, so that each
+    command wakes each gateway, as a change of nodes does."""
+    rounds, alone = told.count or 3, None
+    print(
+        "polls: one member, one client that has 20 reservations a second made or ended, while gateways poll"
+    )
+    for gateways, parts in ((0, ""), *((many, parts) for parts in (HEEDED, "") for many in GATEWAYS)):
+        with Cluster(told.place / f"polls-{gateways}{len(parts)}", ["g1"], times=TOLD) as cluster:
             cluster.start().wait_leader()
             declare(cluster)
-            over, heard = threading.Event(), []
-            run = lambda: asyncio.run(polling(cluster.listens["g1"], gateways, over, heard))  # noqa: B023, E731
-            thread = threading.Thread(target=run)
-            thread.start()
-            process = cluster.processes["g1"]
-            until(lambda: len(heard) >= gateways, "all poll")  # noqa: B023
-            idle, took = [], []
-            for _ in range(rounds):
-                before, began = cpu(process), time.monotonic()
-                time.sleep(3)
-                idle.append((cpu(process) - before) / (time.monotonic() - began))
-                before, count = cpu(process), len(heard)
-                some = paced(cluster.listens["g1"], 60, 0.05)
-                took.append(
-                    ((cpu(process) - before) / 60, some.took(0.5), some.took(0.99), len(heard) - count)
-                )
-            over.set()
-            declare(cluster)
-            thread.join()
-            each[gateways] = [statistics.median(one) for one in zip(*took, strict=True)]
-            cost, p50, p99, events = each[gateways]
-            more = ""
-            if gateways:
-                more = f", {(cost - each[0][0]) * 1e6 / gateways:.0f} us a gateway"
-            print(
-                f"  {gateways:4} gateways: {cost * 1e3:.2f} ms of CPU a command{more}, p50 {ms(p50)} ms, p99 "
-                f"{ms(p99)} ms, {events / 60:.0f} answers a command; "
-                f"idle {statistics.median(idle):.1%} of a core"
-            )
+            idle, took = polled(cluster, gateways, parts, rounds)
+        cost, p50, p99, events = (statistics.median(one) for one in zip(*took, strict=True))
+        alone = alone or cost
+        each = f", {(cost - alone) * 1e6 / gateways:.0f} us a gateway" if gateways else ""
+        print(
+            f"  {gateways:4} gateways {'for their parts' if parts else 'for all' if gateways else ''}: "
+            f"{cost * 1e3:.2f} ms of CPU a command, {cost / alone:.1f} of none{each}, p50 {ms(p50)} ms, p99 "
+            f"{ms(p99)} ms, {events:.0f} answers a command; idle {statistics.median(idle):.1%} of a core"
+        )
+
+
+def polled(cluster, gateways, parts, rounds):
+    """Shares of a core that polls alone take; and of rounds of commands: CPU seconds each, p50, p99, answers
+    to polls for each."""
+    process, over, heard, idle, took = cluster.processes["g1"], threading.Event(), [], [], []
+    run = lambda: asyncio.run(polling(cluster.listens["g1"], gateways, parts, over, heard))  # noqa: E731
+    thread = threading.Thread(target=run)
+    thread.start()
+    until(lambda: len(heard) >= gateways, "all poll")
+    for _ in range(rounds):
+        before, began = cpu(process), time.monotonic()
+        time.sleep(3)
+        idle.append((cpu(process) - before) / (time.monotonic() - began))
+        before, count = cpu(process), len(heard)
+        some = paced(cluster.listens["g1"], 60, 0.05)
+        cost, answers = (cpu(process) - before) / 60, (len(heard) - count) / 60
+        took.append((cost, some.took(0.5), some.took(0.99), answers))
+    over.set()
+    thread.join()
+    return idle, took
 
 
 def paced(address, count, pause):
@@ -498,8 +505,8 @@
         began = time.perf_counter()
         for number in range(count):
             before = time.perf_counter()
-            code, _ = await caller.ask(*call(0, number))
-            assert code == 200
+            code, body = await caller.ask(*call(0, number))
+            assert code == 200, body
             found.answers.append((time.perf_counter(), time.perf_counter() - before))
             await asyncio.sleep(pause)
         found.seconds = time.perf_counter() - began
