--- a/benchmarks/whole.py
+++ b/benchmarks/whole.py
@@ -215,10 +215,13 @@
 
 def played(arguments, folder):
     """The installation through all troubles: (rows of the table, faults)."""
-    with Installation(folder, CLUSTERS, arguments.nodes, arguments.gateways, seed=arguments.seed) as all_:
+    nodes, gateways = arguments.nodes, arguments.gateways
+    with Installation(
+        folder, CLUSTERS, nodes, gateways, seed=arguments.seed, far=nodes, service="front"
+    ) as all_:
         louis, ebene = all_.clusters.values()
         all_.declare()
-        all_.declare("here", ebene, [f"x{n}" for n in range(arguments.nodes)])
+        all_.declare("here", ebene, [node.name for node in all_.far])
         all_.group("store", ["n0", "n1", "n2"], 2)
         told = {"kind": "reserve", "reservation": "front", "service": "front", "units": 6, "site": "here"}
         assert louis.done(id="front", **told)[0] == 200
--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -50,6 +50,7 @@
         query = f"/api/targets?stream=1&index={self.version}"
         sock.sendall(f"GET {query} HTTP/1.1\r\nHost: {source[0]}:{source[1]}\r\n\r\n".encode())
         answer, objects, begun = http.Answer(), http.Objects(), time.monotonic()
+        heard = False
         while True:
             while (line := answer.next()) is http.MORE:
                 if not answer.buffer.fill(sock.recv_into):
@@ -59,7 +60,11 @@
             if line is http.END:
                 return "over"
             if text := objects.add(line):
+                heard = True
                 self.told(text, source)
+            elif not (heard or line or objects.lines) and source == self.source:
+                heard = True  # a sign of life first: nothing has changed, so the list that we have is current
+                self.desk.tell(self.current)
             if not objects.lines:
                 begun = time.monotonic()
             elif time.monotonic() - begun > SILENCE:
@@ -108,6 +113,13 @@
         self.counters.add("lists told")
         self.put(now, lines, addresses, whole, fresh)
 
+    def current(self, now):
+        """Under the desk's lock. The list as it is here is the one that discovery has."""
+        self.wanted.clear()
+        self.upkeep.worked()
+        self.tried.set()
+        self.desk.balancer.listed(now, [], False, True)
+
     def put(self, now, lines, addresses, whole, fresh):
         """The one way by which the balancer learns of instances. Under the desk's lock."""
         for id in [id for id in self.desk.instances.pools if id not in addresses] if whole else ():
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -128,6 +128,15 @@
     server.close()
 
 
+def test_a_watch_on_which_nothing_has_changed_shows_that_the_list_is_current():
+    """Else a balancer whose watch broke once would hold its list for old until the next change."""
+    server = DiscoveryServer().start()
+    made, lists, failures = watching(server.address)
+    until(lambda: lists == [[]])
+    assert made.counters.read() == {} and made.tried.is_set() and not failures
+    server.close()
+
+
 def test_half_a_list_and_then_signs_of_life_alone_count_as_silence(monkeypatch):
     monkeypatch.setattr(drivers, "SILENCE", 0.2)
 
