--- a/lemonlead/standins/installation.py
+++ b/lemonlead/standins/installation.py
@@ -209,6 +209,7 @@
             follow = f'follow: {{name: "{name}", wait: 10s, members: {{{told}}}{more}}}'
             zones = {"Areas": ["here", "there"]}
             ran = self.stack.enter_context(gateway(folder, entries=entries, follow=follow, settings=zones))
+            ran.discovery.tell(*entries, full=True)  # by an old list no stage is voted on
             self.gateways.append(ran)
         for ran in self.gateways:
             self.crowds.append(Crowd(ran.port, crowd, self.ask).start())
