--- a/lemonlead/member/host.py
+++ b/lemonlead/member/host.py
@@ -17,6 +17,7 @@
 MOST_INBOX = 4096  # messages of peers not yet handed on; past it the oldest is dropped
 MOST_AT_ONCE = 1000  # inputs, and decisions, in one turn; the rest is for the next, after the sockets
 LONGEST_PULL = 20_000_000  # nanoseconds of deciding, likewise
+MOST_TOLD = 50  # calls for events answered, likewise
 
 
 class Host:
@@ -31,6 +32,7 @@
         self.desk.duties.extend(duties(self.desk))
         self.messages, self.inputs = deque(), deque()
         self.soon = self.timer = None
+        self.told = 0  # calls for events answered in this turn
         self.wake, self.ended, self.office = 0, False, None
         self.changed = asyncio.Event()  # set as the office changes
         self.leaving = {}  # futures of those that wait for an answer of the leader of this name
@@ -178,12 +180,13 @@
 
     def pull(self, now):
         """What is decided as of now; whether something may be left. Bounded in time too: against thousands
-        of entries to apply after a start, in which a leader would be silent for as long as an election."""
-        until = time.monotonic_ns() + LONGEST_PULL
+        of entries to apply after a start, and hundreds of gateways that are told something and ask anew at
+        once, in which a leader would be silent for as long as an election."""
+        until, self.told = time.monotonic_ns() + LONGEST_PULL, 0
         for _ in range(MOST_AT_ONCE):
             if not self.desk.decide(now, self):
                 return False
-            if time.monotonic_ns() > until:
+            if time.monotonic_ns() > until or self.told >= MOST_TOLD:
                 break
         return True
 
@@ -229,6 +232,7 @@
         settle(ticket, (state, leader))
 
     def polled(self, ticket, events, at, state, leader):
+        self.told += 1
         settle(ticket, (events, at, state, leader))
 
     def call(self, call):
--- a/tests/test_member_parts.py
+++ b/tests/test_member_parts.py
@@ -273,6 +273,26 @@
     assert asyncio.run(play()) == [3, 6, 9, 10]
 
 
+def test_a_turn_answers_some_calls_for_events_and_leaves_the_rest_for_the_next():
+    class Telling(Desk):
+        def decide(self, now, door):
+            if len(self.asked) < 120:
+                ticket = door.loop.create_future()
+                door.polled(ticket, [], 7, None, "g1")
+                self.asked.append(ticket)
+            return len(self.asked) < 120
+
+    async def play():
+        host, turns = hosting(Telling(1 << 62)), []
+        while len(host.desk.asked) < 120:
+            host.turn()
+            turns.append(len(host.desk.asked))
+        host.end()
+        return turns, [ticket.result()[1] for ticket in host.desk.asked]
+
+    assert asyncio.run(play()) == ([50, 100, 120], [7] * 120)
+
+
 # ---- connections past the bound
 
 
