--- a/lemonlead/following/course.py
+++ b/lemonlead/following/course.py
@@ -35,14 +35,16 @@
 
 
 class Course:
-    def __init__(self, me, boot, members, seed, more=()):
+    def __init__(self, me, boot, members, seed, more=(), service=""):
         """`boot`: of this process alone, so that ids are never used twice. `members`: name to address.
-        `more`: parts of the state that are asked for beside those that all heed."""
+        `more`: parts of the state that are asked for beside those that all heed. `service`: whose moves it
+        votes on, if any."""
+        self.asks = {"services": [service]} if service else {}  # with `follow`
         self.me, self.boot, self.members = me, boot, dict(members)
         self.random = random.Random(seed)
         self.order = sorted(members)
         self.random.shuffle(self.order)
-        self.member = self.order[0]
+        self.member, self.retired = self.order[0], []  # those that the ledger has no more: tried seldom
         self.length, self.passes, self.not_before, self.follow_at = SHORTEST, 0, 0, 0
         self.follows, self.leaving, self.left = False, False, False
         self.all_parts = (*STATE_PARTS, *more)
@@ -128,11 +130,22 @@
             self.parts = list(self.all_parts)  # all of them from one member
         if told is None:
             self.shunned[self.member] = now + SHUNNED
-        self.move(self.order[(self.order.index(self.member) + 1) % len(self.order)])
+        self.move(self.following())
         self.passes = 0
         self.not_before = now + max(int(self.length * self.random.uniform(0.5, 1.0)), pause(told or {}))
         self.length = min(2 * self.length, LONGEST)
 
+    def following(self):
+        """The member after this one. Those of the settings that the ledger has no more may be all that there
+        is, of a cluster formed anew: one of them has its turn after all the others."""
+        at = self.order.index(self.member) + 1 if self.member in self.order else 0
+        if at < len(self.order):
+            return self.order[at]
+        if self.retired and self.member not in self.retired:
+            self.retired.append(self.retired.pop(0))
+            return self.retired[-1]
+        return self.order[0]
+
     def older(self, now):
         """A member that lags told what was known already."""
         self.counts["older"] += 1
@@ -162,7 +175,10 @@
         self.left = True
 
     def seated(self, name, address):
-        """A member as the ledger has it, None where it is gone. Those of the settings stay."""
+        """A member as the ledger has it, None where it is gone. Those of the settings stay known."""
+        if address is None and name in self.order and len(self.order) > 1:
+            self.order.remove(name)
+            self.retired = [*self.retired[-MOST_MEMBERS:], name]
         if address is not None and (name in self.members or len(self.members) < MOST_MEMBERS):
             if name not in self.members:
                 self.order.append(name)
@@ -177,7 +193,7 @@
         if self.leaving:
             return self.command(UNFOLLOW)
         if not self.follows and now >= self.follow_at:
-            return self.command(FOLLOW)
+            return self.command(FOLLOW, fields=self.asks)
         if self.follows and not self.parts and (ballot := self.ballot) is not None:
             return self.command(VOTE, *ballot)
         if self.parts:
--- a/lemonlead/following/driver.py
+++ b/lemonlead/following/driver.py
@@ -50,7 +50,8 @@
         moves = "service" in told or "far" in told
         self.heeds = words.ASKED if moves else words.PARTS
         more = ("moves",) if moves else ()
-        self.course = Course(me, os.urandom(6).hex(), members, place.start.seed, more)
+        service = told.get("service", "")
+        self.course = Course(me, os.urandom(6).hex(), members, place.start.seed, more, service)
         self.merge, self.parts, self.service = Merge(), [], None
         if moves:
             from .service import Service  # not imported while no moves are followed
--- a/lemonlead/ledger/followers.py
+++ b/lemonlead/ledger/followers.py
@@ -14,18 +14,22 @@
 from .state import Command
 
 MOST_FOLLOWERS = 1000
+MOST_SERVICES = 16  # of one gateway
 LOOK = 200_000_000  # between two looks at whose lease ran out
 NEVER = 1 << 62
 
 
 class Follower(Struct, frozen=True):
     since: int = 0  # index of the entry that took it in
+    services: tuple[str, ...] = ()  # whose lookups it sends, and on whose moves it votes
 
 
 class Follow(Command, frozen=True, tag="follow"):
-    """A gateway asks to be waited for, before it obeys anything of the ledger's."""
+    """A gateway asks to be waited for, before it obeys anything of the ledger's. `services`: it votes on
+    their moves."""
 
     gateway: Name
+    services: Annotated[tuple[Name, ...], Meta(max_length=MOST_SERVICES)] = ()
 
 
 class Unfollow(Command, frozen=True, tag="unfollow"):
@@ -46,7 +50,7 @@
         if len(draft.part("followers")) >= MOST_FOLLOWERS:
             raise Refused(f"{MOST_FOLLOWERS} gateways follow already", "end some that are no longer needed")
         room(draft, "followers", command.gateway)
-    draft.put("followers", command.gateway, Follower(draft.index))
+    draft.put("followers", command.gateway, Follower(draft.index, command.services))
 
 
 def unfollow(draft, command):
--- a/lemonlead/moves/rules.py
+++ b/lemonlead/moves/rules.py
@@ -270,9 +270,9 @@
     move = open_move(draft, command)
     if move.step != SHIFTING or move.stage != command.stage:
         raise Outdated(f"move {command.move} is {move.step} at stage {move.stage}")
-    followers = draft.part("followers")
-    if command.gateway not in followers:
-        raise Refused(f"gateway {command.gateway} does not follow", "follow first")
+    follower, voters = draft.get("followers", command.gateway), voting(draft, move.service)
+    if follower is None or move.service not in follower.services:
+        raise Refused(f"gateway {command.gateway} does not follow for {move.service}", "follow first")
     if command.gateway in (move.on if command.verdict == "on" else move.back):
         return None
     on = tuple(name for name in move.on if name != command.gateway)
@@ -282,8 +282,8 @@
     else:
         back += (command.gateway,)
     move = replace(move, on=on, back=back)
-    if len(back) >= back_needed(len(followers)):
-        says = f"{len(back)} of {len(followers)} gateways found {move.to} worse at {move.share / 10:g} %"
+    if len(back) >= back_needed(voters):
+        says = f"{len(back)} of {voters} gateways found {move.to} worse at {move.share / 10:g} %"
         do = "look at the machines there, then move anew"
         send_back(draft, command.move, move, SENT_BACK, says, do)
     else:
@@ -291,13 +291,19 @@
     return None
 
 
+def voting(state, service):
+    """How many gateways vote on this service's moves; of a state or a draft."""
+    return sum(service in follower.services for follower in state.part("followers").values())
+
+
 def back_needed(followers):
     """Votes that send a shift back. Each gateway votes back by luck only seldom; two of many are no luck."""
     return 1 + (followers > 10)
 
 
 def on_needed(followers):
-    """Votes that a stage wants. Where no gateway follows, nobody sends lookups by this ledger."""
+    """Votes that a stage wants. Where no gateway follows for the service, nobody shifts its lookups by this
+    ledger."""
     return (followers + 1) // 2
 
 
@@ -379,7 +385,7 @@
     if draft.moment - move.since < BAKE:
         raise NotAwaited(f"stage {move.stage} stands since less than {BAKE // 10**9} s")
     if move.share < STAGES[-1]:
-        if len(move.on) < on_needed(len(draft.part("followers"))):
+        if len(move.on) < on_needed(voting(draft, move.service)):
             raise NotAwaited(f"{len(move.on)} gateways voted for more")
         return shift(draft, name, move, move.stage + 1)
     between_runs(draft, move.service)
--- a/lemonlead/moves/steps.py
+++ b/lemonlead/moves/steps.py
@@ -221,7 +221,7 @@
         if moment - move.since < BAKE:
             self.rouse(now + BAKE - (moment - move.since))
         elif move.share < STAGES[-1]:
-            if len(move.on) >= rules.on_needed(len(state.part("followers"))):
+            if len(move.on) >= rules.on_needed(rules.voting(state, move.service)):
                 return self.on(name, move)
         elif not followers.waited_for(now, state, move.at):
             return self.on(name, move)
--- a/lemonlead/standins/two_clusters.py
+++ b/lemonlead/standins/two_clusters.py
@@ -22,6 +22,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 TIME_OUT = 2 * SECOND  # of a call
 DEPOSED = 3 * SECOND  # for so long a deposed leader goes on calling, by its last state
+SERVICES = ("search", "print", "other")  # on whose moves each gateway votes
 
 
 def ledger(**changed):
@@ -121,9 +122,10 @@
         for node, permit in list(self.state.part("permits").items()):
             if permit.phase == drains.CLEAR:
                 self.do(capacity.Report(node=node, state="drained"))
-                self.world.at(self.world.now + took, lambda node=node: self.do(
-                    capacity.Report(node=node, state="serving")
-                ))
+                self.world.at(
+                    self.world.now + took,
+                    lambda node=node: self.do(capacity.Report(node=node, state="serving")),
+                )
 
 
 class World:
@@ -147,7 +149,7 @@
             for number in range(gateways):
                 gateway = f"{name}-gateway-{number}"
                 side.gateways.append(gateway)
-                side.do(followers.Follow(id=gateway, gateway=gateway))
+                side.do(followers.Follow(id=gateway, gateway=gateway, services=SERVICES))
                 self.at(self.now + number * 50 * MS, lambda side=side, g=gateway: self.poll(side, g))
 
     def at(self, moment, action):
@@ -160,15 +162,17 @@
         if not side.up or gateway in self.cut:
             return
         if gateway not in side.state.part("followers"):
-            return side.do(followers.Follow(gateway=gateway))
+            return side.do(followers.Follow(gateway=gateway, services=SERVICES))
         side.followers.polled(self.now, gateway, side.state.index)
         for name in side.state.part("moving"):
             move = side.state.part("moves")[name]
             known = gateway in move.on or gateway in move.back
             if move.step == rules.SHIFTING and not known and (verdict := self.judge(self, gateway, move)):
-                side.do(rules.MoveVote(
-                    move=name, epoch=move.epoch, stage=move.stage, gateway=gateway, verdict=verdict
-                ))
+                side.do(
+                    rules.MoveVote(
+                        move=name, epoch=move.epoch, stage=move.stage, gateway=gateway, verdict=verdict
+                    )
+                )
 
     # ---- calls from cluster to cluster
 
@@ -257,9 +261,9 @@
 def furnish(world, cluster, nodes=4, units=10, site=None):
     """Nodes for a cluster, all at one site."""
     for number in range(nodes):
-        world.sides[cluster].do(capacity.NodeCommand(
-            node=f"{cluster}-{number}", site=site or cluster, units=units
-        ))
+        world.sides[cluster].do(
+            capacity.NodeCommand(node=f"{cluster}-{number}", site=site or cluster, units=units)
+        )
 
 
 def serve(world, cluster, service, units=8, pinned=4, group=0):
@@ -268,14 +272,18 @@
     reserve = capacity.Reserve
     made = [
         side.do(reserve(reservation=f"{service}-wide", service=service, units=units, site=cluster)),
-        side.do(reserve(
-            reservation=f"{service}-pinned", service=service, units=pinned,
-            nodes=tuple(f"{cluster}-{number}" for number in range(2)),
-        )),
+        side.do(
+            reserve(
+                reservation=f"{service}-pinned",
+                service=service,
+                units=pinned,
+                nodes=tuple(f"{cluster}-{number}" for number in range(2)),
+            )
+        ),
     ]
     if group:
         members = tuple(f"{cluster}-{number}" for number in range(group))
-        made.append(side.do(capacity.GroupCommand(
-            group=f"{service}/replicas", nodes=members, quorum=group // 2 + 1
-        )))
+        made.append(
+            side.do(capacity.GroupCommand(group=f"{service}/replicas", nodes=members, quorum=group // 2 + 1))
+        )
     assert [code for code, _ in made] == [200] * len(made), made
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -786,3 +786,21 @@
     code = OFF.replace("lemonlead.gateway.__main__", "lemonlead.following.driver")
     ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert {name.split(".")[0] for name in json.loads(ran.stdout.replace("'", '"'))} == {"lemonlead"}
+
+
+def test_members_that_the_ledger_has_no_more_are_asked_seldom_and_not_never():
+    """Guards against a gateway that spends its waits on machines that were replaced long ago."""
+    made = course(**{name: f"h:{name}" for name in ("m1", "m2", "m3", "m4", "m5")})
+    for gone in ("m1", "m2", "m3"):
+        made.seated(gone, None)
+    asked = []
+    for _ in range(30):
+        made.failed(made.not_before)
+        asked.append(made.next(made.not_before).member)
+    assert asked.count("m4") == asked.count("m5") == 10
+    assert sorted(set(asked)) == ["m1", "m2", "m3", "m4", "m5"]
+
+
+def test_a_gateway_asks_to_follow_for_the_service_that_it_votes_on():
+    made = Course("g0", "b00t", {"m1": "h:1"}, 7, (), "parts")
+    assert json.loads(made.next(NOW).body)["services"] == ["parts"]
