--- a/lemonlead/standins/promises.py
+++ b/lemonlead/standins/promises.py
@@ -30,6 +30,11 @@
     return by_node, by_site
 
 
+def borne(node):
+    """Whether what is held on it counts at its site: where it is up, and where a drain has it out."""
+    return node["state"] in SERVES or bool(node["out"]) and node["state"] != "failed"
+
+
 def usable(node):
     return node["units"] if node["state"] in SERVES and not node["out"] else 0
 
@@ -43,6 +48,7 @@
         site = sums.setdefault(node["site"], [0, 0])
         if usable(node) or (node["state"] in SERVES and not node["out"]):
             site[0] += node["units"]
+        if borne(node):
             site[1] += by_node.get(name, 0)
     kept = parts.get("sites", {})
     for name in {*sums, *by_site, *kept}:
@@ -70,10 +76,10 @@
     nodes, found, room = parts.get("nodes", {}), [], {}
     for name, node in nodes.items():
         room[node["site"]] = room.get(node["site"], 0) + usable(node)
-        if usable(node):
+        if borne(node):
             room[node["site"]] -= by_node.get(name, 0)
-            if by_node.get(name, 0) > node["units"]:
-                found.append(f"node {name}: {by_node[name]} of {node['units']}")
+        if usable(node) and by_node.get(name, 0) > node["units"]:
+            found.append(f"node {name}: {by_node[name]} of {node['units']}")
     for site in {*room, *by_site}:
         if by_site.get(site, 0) > room.get(site, 0):
             found.append(f"site {site}: {by_site.get(site, 0)} promised, {room.get(site, 0)} left")
--- a/lemonlead/standins/simulated/hosts.py
+++ b/lemonlead/standins/simulated/hosts.py
@@ -253,8 +253,8 @@
     def read(self, ticket):
         self.desk.read(self.now(), ticket)
 
-    def poll(self, after, gateway, ticket):
-        self.desk.poll(self.now(), after, gateway, ticket)
+    def poll(self, after, gateway, ticket, since=0, parts=()):
+        self.desk.poll(self.now(), after, gateway, ticket, since, parts)
 
     def hand_over(self, to=""):
         self.desk.hand_over(self.now(), to)
--- a/lemonlead/standins/simulated/schedules.py
+++ b/lemonlead/standins/simulated/schedules.py
@@ -78,15 +78,16 @@
 }
 
 
-def draw(seed, kinds=None):
+def draw(seed, kinds=None, table=KINDS, span=SPAN):
+    """`kinds`: names out of the `table`; all of them where none is given."""
     chance = random.Random(f"schedule {seed}")
-    names = sorted(kinds or KINDS)
-    weights = [KINDS[name][0] for name in names]
+    names = sorted(kinds or table)
+    weights = [table[name][0] for name in names]
     troubles = []
     for _ in range(chance.randint(2, 7)):
         kind = chance.choices(names, weights)[0]
-        _, least, most = KINDS[kind]
-        at, whom = chance.randint(0, SPAN), 0 if chance.random() < 0.45 else chance.randint(1, 4)
+        _, least, most = table[kind]
+        at, whom = chance.randint(0, span), 0 if chance.random() < 0.45 else chance.randint(1, 4)
         troubles.append(Trouble(at, kind, whom, chance.randint(least, most), chance.randrange(1000)))
     troubles.sort(key=lambda trouble: trouble.at)
     return Schedule(seed, 5 if chance.random() < 0.15 else 3, tuple(troubles))
@@ -357,11 +358,11 @@
     return short_told(cluster, name, folder, seed)
 
 
-def play(schedule, **more):
-    """Plays it; what a judge saw, or an error of the desks, is in `broken`."""
+def play(schedule, kind=Play, **more):
+    """Plays it in a world of this kind; what a judge saw, or an error of the desks, is in `broken`."""
     made, undecided, broken = None, 0, None
     try:
-        made = Play(schedule, **more)
+        made = kind(schedule, **more)
         made.run()
     except Broken as error:
         broken = error
--- /dev/null
+++ b/tests/test_simulated_whole.py
@@ -0,0 +1,87 @@
+"""Two whole clusters in the simulated world: real replicas, drains, moves, gateways that follow, nodes that
+obey. Longer runs: `python -m benchmarks.schedules --whole`."""
+
+import pytest
+
+from lemonlead.ledger.state import Ledger
+from lemonlead.member import whole as rules_of
+from lemonlead.moves import rules
+from lemonlead.standins.simulated.gateways import Gateway
+from lemonlead.standins.simulated.nodes import Node
+from lemonlead.standins.simulated.schedules import play, shrunk
+from lemonlead.standins.simulated.whole import Whole, draw
+from lemonlead.standins.simulated.world import SECOND
+
+
+def stands(schedule):
+    """Plays it; fails with its shortest form where it breaks something."""
+    played = play(schedule, Whole)
+    if played.broken is not None:
+        judge = played.broken.judge
+
+        def fails(one):
+            broken = play(one, Whole).broken
+            return broken is not None and broken.judge == judge
+
+        pytest.fail(f"{played.broken}\n{shrunk(schedule, fails, 20)}")
+    return played
+
+
+@pytest.mark.parametrize("seed", range(1, 8))
+def test_drawn_schedules_break_nothing(seed):
+    stands(draw(seed))
+
+
+# ---- faults put in on purpose
+
+
+class Early(Gateway):
+    """Acknowledges what it heard, and obeys it only later."""
+
+    def hear(self, news):
+        if news.whole:
+            return super().hear(news)
+        self.world.after(2 * SECOND, super().hear, news)
+        return news
+
+
+class Forgetful(Node):
+    """Obeys the first permit that it ever had, again and again."""
+
+    first = None
+
+    def told(self, number, sent, at, permit):
+        if permit is not None and permit["phase"] == "clear":
+            self.first = self.first or permit
+        self.obeyed = (0, 0)
+        super().told(number, sent, at, self.first or permit)
+
+
+def frees_early(name):
+    """A destination that lets go what it holds as the lookups come."""
+    made = rules_of.ledger()
+
+    def warm(draft, command):
+        told = rules.warm(draft, command)
+        if told["warm"]:
+            rules.drop_it(draft, command.key, draft.get("holds", command.key), "")
+        return told
+
+    return Ledger({**made.rules, rules.HoldWarm: warm}, made.kinds, made.inner)
+
+
+@pytest.mark.parametrize(
+    "made, says",
+    [
+        ({"gateway": Early}, "may send to it"),
+        ({"node": Forgetful}, "goes down"),
+        ({"ledger": frees_early}, "dropped there while its source"),
+    ],
+)
+def test_a_fault_put_in_on_purpose_is_caught(made, says):
+    seen = []
+    for seed in range(1, 30):
+        seen.append(str(play(draw(seed), Whole, **made).broken))
+        if says in seen[-1]:
+            return
+    pytest.fail(str(seen))
