--- a/lemonlead/ledger/capacity.py
+++ b/lemonlead/ledger/capacity.py
@@ -9,6 +9,7 @@
 from msgspec import Meta, Struct
 from msgspec.structs import replace
 
+from . import services
 from .faults import Refused, Senseless
 from .state import Command
 
@@ -82,6 +83,7 @@
     "groups": Group,
     "sites": Site,
     "loads": Load,
+    **services.KINDS,
 }
 
 
@@ -246,11 +248,13 @@
         for name in command.nodes:
             load = draft.get("loads", name)
             pin(draft, name, 0, reservations=(load.reservations if load else 0) + 1)
-    draft.put(
-        "reservations",
-        reservation,
-        Reservation(command.service, units, command.nodes or (), command.site or ""),
-    )
+    keep(draft, reservation, Reservation(command.service, units, command.nodes or (), command.site or ""))
+
+
+def keep(draft, name, held):
+    """A new reservation, whose units were taken."""
+    draft.put("reservations", name, held)
+    services.add(draft, "reservations", name, (held.service,))
 
 
 def take_site(draft, site, units):
@@ -294,6 +298,7 @@
     if held.site:
         promise(draft, held.site, -held.units)
     draft.drop("reservations", name)
+    services.remove(draft, "reservations", name, (held.service,))
 
 
 def gang(draft, command):
@@ -318,6 +323,7 @@
         load = draft.get("loads", name)
         pin(draft, name, 0, gangs=((load.gangs if load else ()) + (command.gang,)))
     draft.put("gangs", command.gang, Gang(command.nodes, command.units, command.ends_ms))
+    services.add(draft, "gangs", command.gang, services.of_name(command.gang))
 
 
 def gang_end(draft, command):
@@ -328,6 +334,7 @@
         gangs = tuple(one for one in draft.get("loads", name).gangs if one != command.gang)
         pin(draft, name, -ended.units, gangs=gangs)
     draft.drop("gangs", command.gang)
+    services.remove(draft, "gangs", command.gang, services.of_name(command.gang))
 
 
 def group(draft, command):
@@ -338,14 +345,26 @@
         raise Senseless(f"a quorum of {command.quorum} among {len(command.nodes)} nodes")
     for name in command.nodes:
         known_node(draft, name)
-    before = draft.get("groups", command.group)
+    put_group(draft, command.group, Group(command.nodes, command.quorum))
+
+
+def put_group(draft, group, after):
+    """The group as it is from now on, None where it is no more; moves call this too."""
+    before = draft.get("groups", group)
     for name in before.nodes if before else ():
         load = draft.get("loads", name)
-        pin(draft, name, 0, groups=tuple(one for one in load.groups if one != command.group))
-    for name in command.nodes:
+        pin(draft, name, 0, groups=tuple(one for one in load.groups if one != group))
+    for name in after.nodes if after else ():
         load = draft.get("loads", name)
-        pin(draft, name, 0, groups=(load.groups if load else ()) + (command.group,))
-    draft.put("groups", command.group, Group(command.nodes, command.quorum))
+        pin(draft, name, 0, groups=(load.groups if load else ()) + (group,))
+    if before is None and after is not None:
+        services.add(draft, "groups", group, services.of_name(group))
+    if before is not None and after is None:
+        services.remove(draft, "groups", group, services.of_name(group))
+    if after is None:
+        draft.drop("groups", group)
+    else:
+        draft.put("groups", group, after)
 
 
 def caught_up(draft, group):
--- a/lemonlead/ledger/state.py
+++ b/lemonlead/ledger/state.py
@@ -112,16 +112,19 @@
     def get(self, part, key):
         return self.part(part).get(key)
 
-    def put(self, part, key, record):
+    def put(self, part, key, record, told=True):
+        """`told`: whoever polls for changes hears of it; what follows from other records need not be."""
         if self.get(part, key) != record:
             self.parts = self.parts.set(part, self.part(part).set(key, record))
-            self.changes[part, key] = record
+            if told:
+                self.changes[part, key] = record
 
-    def drop(self, part, key):
+    def drop(self, part, key, told=True):
         if key in self.part(part):
             rest = self.part(part).delete(key)
             self.parts = self.parts.set(part, rest) if rest else self.parts.delete(part)
-            self.changes[part, key] = None
+            if told:
+                self.changes[part, key] = None
 
 
 @dataclass(slots=True)
--- a/lemonlead/moves/rules.py
+++ b/lemonlead/moves/rules.py
@@ -10,7 +10,7 @@
 from msgspec import Meta, Struct
 from msgspec.structs import replace
 
-from ..ledger import capacity
+from ..ledger import capacity, services
 from ..ledger.capacity import Group, Name, Reservation
 from ..ledger.faults import Refused, Senseless
 from ..ledger.state import Command
@@ -184,37 +184,37 @@
     if len(draft.part("moving")) >= MOST_OPEN:
         raise Refused(f"{MOST_OPEN} moves are under way", "wait for the end of one")
     make_room(draft)
-    named = sorted(
-        name for name, held in draft.part("reservations").items() if held.service == command.service
-    )
-    if not named:
+    there = services.of(draft, command.service)
+    if not there.reservations:
         raise NothingToMove(f"service {command.service} has no reservation here")
+    between_runs(draft, command.service)
+    if max(there.reservations, there.groups) > MOST_PIECES:
+        raise too_many(command.service)
+    named = services.names(draft, command.service, "reservations")
     for name in named:
         if holder := draft.get("reservations", name).move:
             raise MoveOpen(f"reservation {name} is held by move {holder}")
-    between_runs(draft, command.service)
+    rows = draft.part("groups")
     groups = tuple(
-        Moved(name, group.nodes, group.quorum)
-        for name, group in sorted(draft.part("groups").items())
-        if belongs(name, command.service)
+        Moved(name, rows[name].nodes, rows[name].quorum)
+        for name in services.names(draft, command.service, "groups")
     )
-    if len(named) > MOST_PIECES or sum(len(group.nodes) for group in groups) > MOST_PIECES:
-        raise Refused(f"service {command.service} is more than {MOST_PIECES} pieces", "move it by parts")
+    if sum(len(group.nodes) for group in groups) > MOST_PIECES:
+        raise too_many(command.service)
     mark(draft, named, command.move)
     move = Move(command.service, command.to, draft.index, at=draft.index, since=draft.moment)
     draft.put("moves", command.move, replace(move, reservations=tuple(named), groups=groups))
     draft.put("moving", command.move, Open(draft.index))
 
 
-def belongs(name, service):
-    """Whether a group or gang is the service's: it bears its name, alone or before a slash."""
-    return name == service or name.startswith(service + "/")
+def too_many(service):
+    return Refused(f"service {service} is more than {MOST_PIECES} pieces", "move it by parts")
 
 
 def between_runs(draft, service):
-    for name in sorted(draft.part("gangs")):
-        if belongs(name, service):
-            raise GangRuns(f"gang {name} of service {service} runs")
+    if services.of(draft, service).gangs:
+        first = services.names(draft, service, "gangs")[0]
+        raise GangRuns(f"gang {first} of service {service} runs")
 
 
 def make_room(draft):
@@ -365,14 +365,12 @@
 
 
 def regroup(draft, name, nodes, quorum):
-    command = capacity.GroupCommand(group=name, nodes=nodes, quorum=min(quorum, len(nodes)))
-    capacity.group(draft, command)
+    capacity.room(draft, "groups", name)
+    capacity.put_group(draft, name, Group(nodes, min(quorum, len(nodes))))
 
 
 def ungroup(draft, name):
-    if draft.get("groups", name) is not None:
-        regroup(draft, name, (), 0)
-        draft.drop("groups", name)
+    capacity.put_group(draft, name, None)
 
 
 def shift(draft, name, move, stage):
@@ -563,7 +561,7 @@
             raise NoRoomThere(f"reservation {piece.reservation} stands there already", "free it there")
         capacity.room(draft, "reservations", piece.reservation)
         held = place(draft, command, piece)
-        draft.put("reservations", piece.reservation, held)
+        capacity.keep(draft, piece.reservation, held)
     groups = tuple(place_group(draft, piece) for piece in command.groups)
     hold = Hold(command.source, command.move, command.epoch, command.service, HELD, names, groups)
     draft.put("holds", command.key, replace(hold, at=draft.index))
--- a/lemonlead/standins/promises.py
+++ b/lemonlead/standins/promises.py
@@ -4,6 +4,8 @@
 `faults(parts)` takes the parts as plain dicts (as the state reads tell them) and says what does not add
 up."""
 
+from collections import Counter
+
 SERVES = ("serving", "catching_up")
 
 
@@ -67,6 +69,35 @@
         kept_names = {(key, node) for node, load in loads.items() for key in load[field]}
         if named != kept_names:
             found.append(f"{part} by node differ: {sorted(named ^ kept_names)[:5]}")
+    return found + by_service(parts)
+
+
+def by_service(parts):
+    """Where the index by service differs from what the records themselves say."""
+    found, named = [], set()
+    for name, held in parts.get("reservations", {}).items():
+        named.add((held["service"], "reservations", name))
+    for part in ("gangs", "groups"):
+        for name in parts.get(part, {}):
+            words = name.split("/")
+            named.update(("/".join(words[:end]), part, name) for end in range(1, len(words) + 1))
+    kept = [
+        (key.rsplit(" ", 1)[0], part, name)
+        for key, page in parts.get("service_pages", {}).items()
+        for part, names in page.items()
+        for name in names
+    ]
+    if len(kept) != len(set(kept)) or set(kept) != named:
+        found.append(f"names by service differ: {sorted(set(kept) ^ named)[:5]}")
+    counts = Counter((service, part) for service, part, _ in named)
+    rows = {
+        (service, part): row.get(part, 0)
+        for service, row in parts.get("services", {}).items()
+        for part in ("reservations", "gangs", "groups")
+    }
+    for key in {*rows, *counts}:
+        if rows.get(key, 0) != counts[key]:
+            found.append(f"{key[1]} of service {key[0]}: kept {rows.get(key, 0)}, counted {counts[key]}")
     return found
 
 
--- a/tests/test_ledger_state.py
+++ b/tests/test_ledger_state.py
@@ -127,6 +127,14 @@
     assert fourth.answers["x"].code == 409
 
 
+@pytest.mark.parametrize("part", ["services", "service_pages"])
+def test_the_index_by_service_is_checked_against_the_records_and_told_to_nobody(part):
+    now, applied = told(having(*FLEET), **reserve("r", 1, site="s"))
+    assert part in now.parts and part not in {one for one, _ in applied.changes}
+    assert not promises.faults(promises.plain(now))
+    assert promises.faults({**promises.plain(now), part: {}})
+
+
 def test_a_refusal_is_remembered_too():
     first, refused = told(having(*FLEET), id="x", **reserve("r", 21, site="s"))
     grown, _ = told(first, **node("d"))
@@ -189,15 +197,16 @@
 
 NAMES = st.sampled_from(["a", "b", "c", "d"])
 SOME = st.lists(NAMES, min_size=1, max_size=3, unique=True)
+JOBS = st.sampled_from(["a", "a/b", "a//b", "a/b/c", "ab", "parts/a"])
 FEW = st.integers(0, 12)
 COMMANDS = st.one_of(
     st.builds(node, NAMES, FEW, st.sampled_from(["s", "t"])),
     st.builds(lambda n, u, s: reserve(n, u, site=s), NAMES, FEW, st.sampled_from(["s", "t"])),
     st.builds(lambda n, u, on: reserve(n, u, nodes=on), NAMES, FEW, SOME),
     st.builds(lambda n: {"kind": "free", "reservation": n}, NAMES),
-    st.builds(lambda n, u, on: gang(n, u, *on), NAMES, FEW, SOME),
-    st.builds(lambda n: {"kind": "gang_end", "gang": n}, NAMES),
-    st.builds(lambda n, on: {"kind": "group", "group": n, "nodes": on, "quorum": 1}, NAMES, SOME),
+    st.builds(lambda n, u, on: gang(n, u, *on), JOBS, FEW, SOME),
+    st.builds(lambda n: {"kind": "gang_end", "gang": n}, JOBS),
+    st.builds(lambda n, on: {"kind": "group", "group": n, "nodes": on, "quorum": 1}, JOBS, SOME),
     st.builds(report, NAMES, st.sampled_from(["serving", "catching_up", "drained", "failed"])),
     st.builds(lambda n: {"kind": "follow", "gateway": n}, NAMES),
     st.builds(lambda n: {"kind": "unfollow", "gateway": n}, NAMES),
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -10,8 +10,9 @@
 from hypothesis import strategies as st
 
 from lemonlead.drains import rules as drains
-from lemonlead.ledger import capacity
+from lemonlead.ledger import capacity, state
 from lemonlead.ledger.faults import Refused
+from lemonlead.ledger.records import COMMAND, Entry
 from lemonlead.member import whole
 from lemonlead.moves import faults, rules, steps
 from lemonlead.standins import two_clusters
@@ -261,6 +262,53 @@
     assert ends(world) == "done"
 
 
+class Counted(state.Draft):
+    """Counts what is gone over, and forbids to go over a part that holds records of all services."""
+
+    looked = 0
+
+    def get(self, part, key):
+        self.looked += 1
+        return super().get(part, key)
+
+    def part(self, name):
+        whole = super().part(name)
+        return Closed(whole) if name in ("reservations", "gangs", "groups") else whole
+
+
+class Closed:
+    """A part that may be looked up in and counted, and not gone over."""
+
+    def __init__(self, whole):
+        self.get, self.set, self.whole = whole.get, whole.set, whole
+
+    def __getitem__(self, key):
+        return self.whole[key]
+
+    def __len__(self):
+        return len(self.whole)
+
+
+def test_a_move_looks_at_its_own_service_alone():
+    world = World(gateways=0)
+    furnish(world, "louis", nodes=4, units=1000)
+    louis, looked = world.sides["louis"], []
+    louis.do(capacity.Reserve(reservation="r", service="search", units=1, site="louis"))
+    louis.do(capacity.GroupCommand(group="search/a", nodes=("louis-0", "louis-1"), quorum=1))
+    louis.do(capacity.GroupCommand(group="searching", nodes=("louis-0", "louis-1"), quorum=1))
+    for number in range(300):
+        louis.do(capacity.Reserve(reservation=f"o{number}", service="other", units=1, site="louis"))
+        louis.do(capacity.GangCommand(gang=f"other/{number}", nodes=("louis-0",), units=1))
+        if number in (0, 299):
+            now = louis.state
+            draft = Counted(now, Entry(now.index + 1, 1, COMMAND, now.moment, 1, b""))
+            rules.begin(draft, rules.MoveCommand(move="m", service="search", to="ebene"))
+            looked.append(draft.looked)
+    assert looked[0] == looked[1]
+    assert draft.get("moves", "m").reservations == ("r",)
+    assert [group.group for group in draft.get("moves", "m").groups] == ["search/a"]
+
+
 # ---- who may end what
 
 
@@ -420,7 +468,7 @@
 
 def takes_too_much(draft, command):
     for piece in command.pieces:
-        draft.put("reservations", piece.reservation, capacity.Reservation(
+        capacity.keep(draft, piece.reservation, capacity.Reservation(
             command.service, piece.units, (), "ebene", command.key
         ))
     draft.put("holds", command.key, rules.Hold(
