--- a/lemonlead/ledger/capacity.py
+++ b/lemonlead/ledger/capacity.py
@@ -10,7 +10,7 @@
 from msgspec.structs import replace
 
 from . import services
-from .faults import Refused, Senseless
+from .faults import BeingMoved, Refused, Senseless
 from .state import Command
 
 Name = Annotated[str, Meta(min_length=1, max_length=100, pattern=r"^[A-Za-z0-9][A-Za-z0-9_.:/-]*$")]
@@ -305,6 +305,9 @@
     """A gang starts: all its nodes serve, none is to go before it ends."""
     if draft.get("gangs", command.gang) is not None:
         raise Refused(f"gang {command.gang} runs already", "end it first, or take another name")
+    for service in services.of_name(command.gang):
+        if move := services.of(draft, service).closed:
+            raise BeingMoved(f"move {move} of service {service} waits until no gang of it runs")
     room(draft, "gangs", command.gang)
     once(command.nodes)
     for name in command.nodes:
@@ -338,13 +341,17 @@
 
 
 def group(draft, command):
-    """Declares a group or puts another in its place."""
+    """Declares a group or puts another in its place; not while a move takes the service's groups over
+    member by member, which would put its own in place of this one."""
     room(draft, "groups", command.group)
     once(command.nodes)
     if command.quorum > len(command.nodes):
         raise Senseless(f"a quorum of {command.quorum} among {len(command.nodes)} nodes")
     for name in command.nodes:
         known_node(draft, name)
+    for service in services.of_name(command.group):
+        if moves := services.of(draft, service).moves:
+            raise BeingMoved(f"service {service} is under way by move {moves[0]}")
     put_group(draft, command.group, Group(command.nodes, command.quorum))
 
 
--- a/lemonlead/ledger/faults.py
+++ b/lemonlead/ledger/faults.py
@@ -21,6 +21,12 @@
     """A rule forbids it; nothing was changed (409)."""
 
 
+class BeingMoved(Refused):
+    """A move of the service is under way: it waits for its gangs, or holds its groups."""
+
+    do = "ask again once that move has ended (part moves; holds where it comes from elsewhere), or stop it"
+
+
 class Senseless(Fault):
     """It makes no sense; nothing was changed (400)."""
 
--- a/lemonlead/moves/rules.py
+++ b/lemonlead/moves/rules.py
@@ -202,6 +202,7 @@
     if sum(len(group.nodes) for group in groups) > MOST_PIECES:
         raise too_many(command.service)
     mark(draft, named, command.move)
+    services.mark(draft, command.service, command.move)
     move = Move(command.service, command.to, draft.index, at=draft.index, since=draft.moment)
     draft.put("moves", command.move, replace(move, reservations=tuple(named), groups=groups))
     draft.put("moving", command.move, Open(draft.index))
@@ -253,6 +254,7 @@
         raise Refused(f"no open move {command.move}", "nothing is left to do")
     restore(draft, move)
     mark(draft, move.reservations, "")
+    services.unmark(draft, move.service, command.move)
     ended = replace(move, step=LOST, end=LOST, share=0, at=draft.index, since=draft.moment, told=-1)
     draft.put("moves", command.move, replace(ended, says=f"{move.to} lost: {command.because}"[:500]))
     draft.drop("moving", command.move)
@@ -323,6 +325,8 @@
 
 
 def reserved(draft, name, move, command):
+    """From here on it waits for the service's gangs: none starts any more."""
+    services.mark(draft, move.service, name, closed=True)
     put(draft, name, move, step=WARMING, taken=command.proof)
 
 
@@ -397,6 +401,7 @@
             capacity.release(draft, one, held)
     for group in move.groups:
         ungroup(draft, group.group)
+    services.unmark(draft, move.service, name)
     finish(draft, name, move, DONE, command.proof)
 
 
@@ -407,6 +412,7 @@
         if group.over and here is not None and capacity.caught_up(draft, here) < here.quorum:
             raise NotAwaited(f"group {group.group} has not its quorum here")
     mark(draft, move.reservations, "")
+    services.unmark(draft, move.service, name)
     put(draft, name, move, step=DROPPING)
 
 
@@ -446,9 +452,11 @@
 def send_back(draft, name, move, end, says, do):
     if move.step == ASKED:  # nobody was called, so nobody need be told
         mark(draft, move.reservations, "")
+        services.unmark(draft, move.service, name)
         draft.drop("moving", name)
         return put(draft, name, move, step=end, end=end, says=says, do=do, told=-1)
     restore(draft, move)
+    services.reopen(draft, move.service, name)
     put(draft, name, move, step=GOING_BACK, share=0, at=draft.index, end=end, says=says, do=do)
 
 
@@ -565,6 +573,7 @@
     groups = tuple(place_group(draft, piece) for piece in command.groups)
     hold = Hold(command.source, command.move, command.epoch, command.service, HELD, names, groups)
     draft.put("holds", command.key, replace(hold, at=draft.index))
+    services.mark(draft, command.service, command.key)
     return {"state": HELD}
 
 
@@ -684,6 +693,7 @@
 
 
 def keep_it(draft, key, hold, by):
+    services.unmark(draft, hold.service, key)
     mark(draft, hold.reservations, "")
     for group in hold.groups:
         if group.over:
@@ -709,6 +719,7 @@
 
 
 def drop_it(draft, key, hold, by):
+    services.unmark(draft, hold.service, key)
     for name in hold.reservations:
         reservation = draft.get("reservations", name)
         if reservation is not None and reservation.move == key:
--- a/lemonlead/standins/promises.py
+++ b/lemonlead/standins/promises.py
@@ -98,6 +98,26 @@
     for key in {*rows, *counts}:
         if rows.get(key, 0) != counts[key]:
             found.append(f"{key[1]} of service {key[0]}: kept {rows.get(key, 0)}, counted {counts[key]}")
+    return found + marks(parts)
+
+
+def marks(parts):
+    """Where the marks on services differ from what the records of moves and holds say."""
+    moves = {name: parts["moves"][name] for name in parts.get("moving", {})}
+    under_way = {(row["service"], name) for name, row in moves.items() if row["step"] != "dropping"}
+    for name, hold in parts.get("holds", {}).items():
+        if hold["state"] in ("held", "warm"):
+            under_way.add((hold["service"], name))
+    waits = ("warming", "members", "shifting", "settling")
+    closed = {(row["service"], name) for name, row in moves.items() if row["step"] in waits}
+    rows = parts.get("services", {}).items()
+    kept = {(service, name) for service, row in rows for name in row.get("moves", ())}
+    shut = {(service, row["closed"]) for service, row in rows if row.get("closed")}
+    found = []
+    if kept != under_way:
+        found.append(f"services under way differ: {sorted(kept ^ under_way)[:5]}")
+    if shut != closed:
+        found.append(f"services that wait for gangs differ: {sorted(shut ^ closed)[:5]}")
     return found
 
 
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -15,7 +15,7 @@
 from lemonlead.ledger.records import COMMAND, Entry
 from lemonlead.member import whole
 from lemonlead.moves import faults, rules, steps
-from lemonlead.standins import two_clusters
+from lemonlead.standins import promises, two_clusters
 from lemonlead.standins.move_faults import FAULTS, NAMES, STEPS, awaited, begin, crossed, lossy, made, stop
 from lemonlead.standins.two_clusters import MS, SECOND, World, furnish, serve
 
@@ -26,6 +26,8 @@
     world.run(world.now + 5 * SECOND)
     world.watch.settled()
     assert world.watch.broken == []
+    for side in world.sides.values():
+        assert promises.faults(promises.plain(side.state)) == []
     return world.move("m").end
 
 
@@ -250,16 +252,57 @@
     assert begin(world)[1]["error"]["type"] == "GangRuns"
 
 
-def test_a_gang_that_starts_on_the_way_is_waited_for():
+def night(number, gang="search/night"):
+    return capacity.GangCommand(id=f"g{number}", gang=gang, nodes=("louis-3",), units=1)
+
+
+def test_a_gang_that_starts_on_the_way_is_waited_for_and_none_may_follow_it():
+    """Gangs that follow one another without a gap would hold the move until it is overdue."""
     world = made()
-    louis = world.sides["louis"]
-    start = capacity.GangCommand(id="g", gang="search/night", nodes=("louis-3",), units=1)
-    world.when("shifting", lambda: louis.do(start), stage=3)
+    louis, refused = world.sides["louis"], []
+    world.when("reserving", lambda: louis.do(night(0)))
     begin(world)
     world.run(world.now + 120 * SECOND)
-    assert world.move("m").step == "shifting" and world.move("m").stage == 3
+    assert world.move("m").step == "members" and all(one.over == 3 for one in world.move("m").groups)
+    code, body = louis.do(night(1, "search/day"))
+    assert (code, body["error"]["type"]) == (409, "BeingMoved") and "move m" in body["error"]["says"]
+    assert louis.do(night(2, "searching"))[0] == 200
     louis.do(capacity.GangEnd(id="e", gang="search/night"))
-    assert ends(world) == "done"
+    world.when("settling", lambda: refused.append(louis.do(night(3))[0]))
+    assert ends(world) == "done" and refused == [409]
+    assert louis.do(night(4))[0] == 200
+
+
+def test_a_move_that_goes_back_lets_gangs_start():
+    world, codes = made(), []
+    world.when("shifting", lambda: stop(world), stage=1)
+    world.when("going back", lambda: codes.append(world.sides["louis"].do(night(0))[0]))
+    begin(world)
+    assert ends(world) == "stopped" and codes == [200]
+
+
+@pytest.mark.parametrize("step, stage", [one for one in STEPS if one[0] not in ("asked", "dropping")])
+def test_a_group_that_is_being_moved_is_not_declared_anew(step, stage):
+    world, told = made(), {}
+
+    def declare(name, number=0):
+        nodes = (f"{name}-0", f"{name}-1")
+        return world.sides[name].do(capacity.GroupCommand(
+            id=f"q{number}", group="search/replicas", nodes=nodes, quorum=1
+        ))
+
+    def both():
+        held = world.sides["ebene"].state.part("holds").get("louis/m")
+        for name in ("louis", "ebene") if held is not None and held.state != "dropped" else ("louis",):
+            told[name] = declare(name)[1].get("error", {}).get("type")
+
+    if step == "going back":
+        world.when("shifting", lambda: stop(world), stage=1)
+    world.when(step, both, stage=stage)
+    begin(world)
+    assert ends(world) == ("stopped" if step == "going back" else "done")
+    assert told and set(told.values()) == {"BeingMoved"}
+    assert [declare(name, 1)[0] for name in world.sides] == [200, 200]
 
 
 class Counted(state.Draft):
@@ -309,6 +352,17 @@
     assert [group.group for group in draft.get("moves", "m").groups] == ["search/a"]
 
 
+@pytest.mark.parametrize("fields, says", [({"moves": ()}, "under way"), ({"closed": ""}, "wait for gangs")])
+def test_marks_that_are_left_out_are_seen(fields, says):
+    world = made()
+    begin(world)
+    assert world.run_till(lambda: world.move("m").step == "warming")
+    here = promises.plain(world.sides["louis"].state)
+    assert promises.faults(here) == []
+    here["services"]["search"] |= fields
+    assert [fault for fault in promises.faults(here) if says in fault]
+
+
 # ---- who may end what
 
 
