--- a/tests/test_simulated.py
+++ b/tests/test_simulated.py
@@ -5,6 +5,8 @@
 import random
 import subprocess
 import sys
+from contextlib import nullcontext
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
@@ -14,10 +16,12 @@
 from lemonlead.ledger import log
 from lemonlead.ledger.records import Append, Base, Entry, Write
 from lemonlead.ledger.replica import Replica
+from lemonlead.standins.simulated.checks import Logs
 from lemonlead.standins.simulated.disks import Disk, Held, Work
 from lemonlead.standins.simulated.history import NEVER, UNKNOWN, Seen, Undecided, first_wrong
 from lemonlead.standins.simulated.network import Network, garble, packed, unpacked
 from lemonlead.standins.simulated.schedules import KINDS, Schedule, Trouble, draw, play, shrunk
+from lemonlead.standins.simulated.world import Broken
 
 
 class Later:
@@ -230,8 +234,17 @@
     stands(Schedule(KINDS[kind][0], 3, troubles))
 
 
-@pytest.mark.parametrize("says", ["before its disk was given it", "keeps a snapshot as of"])
-def test_entries_applied_before_the_disk_was_given_them_are_caught(monkeypatch, says):
+@pytest.mark.parametrize("base, right", [(Base(5, 1), True), (Base(6, 1), False), (Base(5, 2), False)])
+def test_a_snapshot_of_what_the_disk_was_not_given_is_caught(base, right):
+    judge = Logs()
+    judge.cluster = SimpleNamespace(world=SimpleNamespace(now=0))
+    judge.logs, judge.bases = {"f": {5: entry(5)}}, {"f": Base(4, 1)}
+    host = SimpleNamespace(name="g1", disk=SimpleNamespace(folder="f"))
+    with nullcontext() if right else pytest.raises(Broken, match="keeps a snapshot as of"):
+        judge.kept(host, base)
+
+
+def test_entries_applied_before_the_disk_was_given_them_are_caught(monkeypatch):
     """One Write out at a time, so that entries often wait for the one before."""
     monkeypatch.setattr(log, "MOST_WRITES", 1)
     assert play(draw(4)).broken is None
@@ -245,7 +258,7 @@
             self.paper.given = given
 
     monkeypatch.setattr(Replica, "commit", at_once)
-    assert any(says in str(play(draw(seed)).broken) for seed in range(100))
+    assert any("before its disk was given it" in str(play(draw(seed)).broken) for seed in range(100))
 
 
 def test_a_schedule_is_the_same_whatever_the_seed_of_hashes():
