--- a/lemonlead/standins/simulated/whole.py
+++ b/lemonlead/standins/simulated/whole.py
@@ -234,7 +234,7 @@
 
 
 class Whole:
-    """`span`: milliseconds in which troubles begin and operators act. `made`: what is put in place of what, for
+    """`span`: milliseconds in which troubles begin and operators act. `made`: what is in place of what, for
     faults put in on purpose: `make_desk`, `node`, `gateway`, `ledger` (function(cluster's name))."""
 
     def __init__(self, schedule, span=SPAN, **made):
