--- a/lemonlead/standins/clients.py
+++ b/lemonlead/standins/clients.py
@@ -9,6 +9,9 @@
 from ..gateway import resp
 
 
+CROSSED = object()
+
+
 class Client:
     def __init__(self, port):
         self.sock = socket.create_connection(("127.0.0.1", port), 60)
@@ -39,11 +42,15 @@
         return value
 
 
+RESTED = 1.8  # seconds after an answer from which on a gateway may have ended the connection
+
+
 class Crowd:
     """Clients that each go on asking, one lookup after the other, until told to stop. `ask(client, number)`
     writes the next lookup and returns what its answer must be, or None where any will do; `counts` has how
     many answers were as they must be ("right"), pushed back, errors, or anything else ("wrong"), and lost
-    connections."""
+    connections. A connection that ended as it had rested for long, just as a lookup was written, is none of
+    these ("crossed"): the protocol has the client ask once more, on a new connection."""
 
     def __init__(self, port, count, ask):
         self.port, self.ask, self.stopped = port, ask, threading.Event()
@@ -58,14 +65,24 @@
         return self
 
     def run(self, number):
-        client = Client(self.port)
+        client, since = Client(self.port), time.monotonic()
         try:
             while not self.stopped.is_set():
-                wanted = self.ask(client, number)
-                answer = client.read()
-                self.count(answer, wanted)
+                rested = time.monotonic() - since > RESTED
+                try:
+                    wanted = self.ask(client, number)
+                    answer = client.read()
+                except OSError:
+                    if not rested:
+                        raise
+                    answer = None
+                if answer is None and rested:
+                    self.count(CROSSED, None)
+                else:
+                    self.count(answer, wanted)
                 if answer is None:
                     client = Client(self.port)
+                since = time.monotonic()
         except OSError:
             self.count(None, None)
         finally:
@@ -74,6 +91,8 @@
     def count(self, answer, wanted):
         if answer is None:
             ending = "lost"
+        elif answer is CROSSED:
+            ending = "crossed"
         elif isinstance(answer, resp.Fault):
             ending = "pushed back" if answer.startswith(b"BUSY") else "errors"
         else:
