--- a/lemonlead/drains/duty.py
+++ b/lemonlead/drains/duty.py
@@ -17,7 +17,7 @@
 )
 from .feasible import named
 from .ground import NO_LOAD
-from .planner import Asked, Plan, lower_bound
+from .planner import PIECE, Asked, Plan, bounding, through
 from .rules import (
     CLEAR,
     DOWN,
@@ -47,6 +47,7 @@
 MOST_TRIED = 200  # nodes tried one by one where a wave does not fit as a whole
 SOON_MS = 600_000  # for so long a wave may wait for gangs that end, where it would save none
 LINGER_MS = 5000  # and for so long past the end that a gang told
+SLICE = 500  # nodes looked at or placed in one `next`: some milliseconds
 MOST_WAVES = 3  # waves looked at for one that may go now
 TELL = 1_000_000_000  # between what drains' records tell: a plan for telling alone is not made at each event
 WATCHED = ("nodes", "permits", "wants", "drains", "groups", "terms")  # looked at as soon as they change
@@ -61,11 +62,22 @@
         self.seen, self.look, self.ask, self.wake = None, 0, 0, NEVER
         self.index, self.at = -1, now  # the last entry seen, and when
         self.held_until = 0  # the ledger's time up to which a wave is kept back, unless something changes
-        self.held_until = 0  # the ledger's time up to which a wave is kept back, unless something changes
         self.permits, self.given = None, {}  # as last seen; index to names of those not yet clear
-        self.view, self.rest, self.tell = View(), (), 0
+        self.tell = 0
+        self.anew()
+
+    def anew(self):
+        """No look is under way, and what was planned is forgotten."""
+        self.work, self.begun, self.met, self.meet, self.spent = None, None, None, 0, 0
+        self.alarm = None
+        self.view, self.rest = View(), ()
         self.plan = Plan(self.view.asked)
 
+    @property
+    def working(self):
+        """Whether a look is under way, of which each `next` does a slice."""
+        return self.work is not None or self.alarm is not None
+
     def called(self, now, call, code, body):
         raise AssertionError("drains call nobody")
 
@@ -77,6 +89,8 @@
         running = {name: one for name, one in state.part("drains").items() if one.phase == RUNNING}
         if not running and not permits:
             self.wake = NEVER
+            if self.working:
+                self.anew()
             return None
         if state.index != self.index:
             self.index, self.at = state.index, now
@@ -88,12 +102,13 @@
         moment = state.moment + now - self.at  # the ledger's time, or a little less
         found = self.clear(now, state, followers)
         watched = tuple(state.part(name) for name in WATCHED)
-        same = self.seen is not None and all(a is b for a, b in zip(watched, self.seen, strict=True))
-        if found is None and not (same and now < self.look):
-            found = self.looked(now, wall_ms, moment, state, running)
-            if found is None:
-                self.seen, self.look = watched, now + LOOK
+        if found is None and (self.working or now >= self.look or not alike(watched, self.seen)):
+            found = self.urgent(now, moment, state, watched)
+            if found is None and self.alarm is None:
+                found = self.slice(now, wall_ms, moment, state, running, watched)
         self.wake = now + ASK if self.given else max(self.look, now + 1)
+        if self.working:
+            self.wake = now + 1
         return found
 
     def clear(self, now, state, followers):
@@ -106,17 +121,47 @@
         self.ask = now + ASK
         return None
 
-    def looked(self, now, wall_ms, moment, state, running):
-        gone = take_back(state, moment)
-        if gone:
-            return PermitBack(nodes=tuple(sorted(gone)[:MOST_PERMITS]))
-        down = own_down(state)
-        if down:
-            return PermitCommand(nodes=tuple(sorted(down)[:MOST_PERMITS]))
-        wave = self.wave(wall_ms, moment, state, running)
+    def urgent(self, now, moment, state, watched):
+        """What is not kept waiting by a look that is under way; every other time at most, so that under many
+        events the look comes to its end, too."""
+        if self.alarm is None:
+            if self.work is not None and (self.spent or (alike(watched, self.met) and now < self.meet)):
+                self.spent = 0
+                return None
+            self.alarm, self.met, self.meet = alarm(state, moment), watched, now + LOOK
+        self.spent = 0
+        try:
+            while self.spent < SLICE:
+                self.spent += next(self.alarm)
+            return None
+        except StopIteration as ended:
+            self.alarm = None
+            return ended.value
+
+    def slice(self, now, wall_ms, moment, state, running, watched):
+        """Part of a look, which is at the state as it was when that began: a leader that looked at 10,000
+        nodes at once would beat late. A wave that does not fit the state as it is by now is planned anew."""
+        if self.work is None:
+            self.work, self.begun = self.looking(now, wall_ms, moment, state, running), watched
+        left, found = SLICE - self.spent, None
+        try:
+            while left > 0:
+                left -= next(self.work)
+            return None
+        except StopIteration as ended:
+            self.work, found = None, ended.value
+        fresh = alike(watched, self.begun)
+        if isinstance(found, PermitCommand) and not fresh and not fits(state, moment, found.nodes):
+            self.rest, found = (), None
+        if found is None:
+            self.seen, self.look = self.begun, now + LOOK if fresh else now
+        return found
+
+    def looking(self, now, wall_ms, moment, state, running):
+        wave = yield from self.wave(wall_ms, moment, state, running)
         if wave:
             return PermitCommand(nodes=wave)
-        return self.about(now, wall_ms, moment, state, running)
+        return (yield from self.about(now, wall_ms, moment, state, running))
 
     # ---- waves
 
@@ -132,27 +177,29 @@
         )
         if self.rest:  # the other entries of a wave that is too long for one
             rest, self.rest = self.rest[:MOST_PERMITS], self.rest[MOST_PERMITS:]
-            if all(may_go(state, name) for name in rest) and not ground.objections(state, moment, rest):
+            if fits(state, moment, rest):
                 return rest
         if busy:
             return ()
-        if not self.replan(moment, state, running) and moment < self.held_until:
+        if not (yield from self.replan(moment, state, running)) and moment < self.held_until:
             return ()
         if self.plan.far():
-            self.plan.make(self.view.asked)
-        if self.plan.waves and self.better_later(wall_ms, moment, state):
+            yield from self.plan.making(self.view.asked)
+        if self.plan.waves and (yield from self.better_later(wall_ms, moment, state)):
             self.held_until = moment + TELL
             return ()
         found = ground.sums(state, moment) if self.plan.waves else {}
+        yield summing(state)
         for wave in self.plan.waves[:MOST_WAVES]:
             names = tuple(sorted(wave))
+            yield len(names)
             faults = ground.objections(state, moment, names, found)
             if not faults:
                 self.rest = names[MOST_PERMITS:]
                 return names[:MOST_PERMITS]
             if all(isinstance(fault, SiteShort) for fault in faults) and cold(state, names, found):
                 return ()  # it fits once what came back is warm
-            names = fitting(state, moment, names, found)
+            names = yield from fitting(state, moment, names, found)
             if names:
                 return names
         return ()
@@ -163,7 +210,9 @@
         what their cordon leaves."""
         progress, wants = state.part("progress"), state.part("wants")
         soon = {}
-        for name, drains in wants.items():
+        for at, (name, drains) in enumerate(wants.items()):
+            if at % PIECE == 0:
+                yield PIECE
             ends = [
                 state.part("gangs")[gang].ends_ms for gang in state.part("loads").get(name, NO_LOAD).gangs
             ]
@@ -183,14 +232,14 @@
         asked, first = self.view.asked, self.plan.waves[0]
         whole = Asked({**{name: asked.takes[name] for name in self.plan.where}, **soon}, asked.caps)
         rest = [name for name in whole.takes if name not in first]
-        return lower_bound(whole, rest) == lower_bound(whole, whole.takes)
+        return (yield from bounding(whole, rest)) == (yield from bounding(whole, whole.takes))
 
     def replan(self, moment, state, running):
         """Whether anything that waves depend on has changed."""
         late = frozenset(name for name, held in state.part("permits").items() if self.is_late(held, moment))
-        names, limits = self.view.update(state, running, late)
+        names, limits = yield from self.view.updating(state, running, late)
         if len(names) * 4 > len(self.view.asked.takes):
-            self.plan.make(self.view.asked)
+            yield from self.plan.making(self.view.asked)
         elif names or limits:
             self.plan.change(names, limits)
         return bool(names or limits)
@@ -200,7 +249,8 @@
     def about(self, now, wall_ms, moment, state, running):
         if not running or now < self.tell:
             return None
-        self.replan(moment, state, running)
+        yield from self.replan(moment, state, running)
+        yield SLICE
         told = told_of(self.plan, state, running, wall_ms, moment, self.late)
         for name, one in sorted(running.items()):
             progress = state.part("progress")[name]
@@ -215,6 +265,20 @@
         return None
 
 
+def summing(state):
+    """What a sum over all nodes costs, as nodes placed: that takes some ten times as long."""
+    return len(state.part("nodes")) // 10
+
+
+def alike(watched, before):
+    """Whether these parts are the very same; a part that changed is another object."""
+    return before is not None and all(a is b for a, b in zip(watched, before, strict=True))
+
+
+def fits(state, moment, names):
+    return all(may_go(state, name) for name in names) and not ground.objections(state, moment, names)
+
+
 def may_go(state, name):
     """Whether a drain wants it and no gang holds it; one that is down has no need to."""
     held = state.part("permits").get(name)
@@ -243,22 +307,40 @@
     """As many of a wave as may go now, one by one."""
     kept = ()
     for name in names[:MOST_TRIED]:
+        yield len(kept) + 1
         if may_go(state, name) and not ground.objections(state, moment, (*kept, name), found):
             kept = (*kept, name)
     return kept
 
 
+def alarm(state, moment):
+    """What goes before any plan, in slices: permits to be taken back, and nodes that went down by
+    themselves."""
+    gone = yield from taking(state, moment)
+    if gone:
+        return PermitBack(nodes=tuple(sorted(gone)[:MOST_PERMITS]))
+    down = own_down(state)
+    if down:
+        return PermitCommand(nodes=tuple(sorted(down)[:MOST_PERMITS]))
+    return None
+
+
 def take_back(state, moment):
+    return through(taking(state, moment))
+
+
+def taking(state, moment):
     """Names whose permits, not yet acted on, have to go back, as the ground has gone: as many as bring each
     group and site right, those not yet clear first."""
     nodes, loads, permits = state.part("nodes"), state.part("loads"), state.part("permits")
     open_ = {name: held for name, held in permits.items() if held.phase in (GIVEN, CLEAR)}
     if not open_:
         return set()
+    serving = {name for name, node in nodes.items() if node.state == SERVING and not node.out}
     taken, order = set(), sorted(open_, key=lambda name: (open_[name].phase != GIVEN, name))
     for group_name in sorted({g for name in open_ for g in loads.get(name, NO_LOAD).groups}):
         group = state.part("groups")[group_name]
-        short = group.quorum - ground.caught_up(state, group)
+        short = group.quorum - len(serving.intersection(group.nodes))
         if short <= 0:
             continue
         members = [name for name in group.nodes if nodes[name].state == SERVING and name in permits]
@@ -267,16 +349,21 @@
             if short > 0 and name in members and name not in taken:
                 taken.add(name)
                 short -= 1
+    yield summing(state) + len(open_) // 4
     found = ground.sums(state, moment, {nodes[name].site for name in open_})
+    yield summing(state)
+    here, back = {}, {}
+    for name in order:
+        here.setdefault(nodes[name].site, []).append(name)
+    for name, held in permits.items():
+        if held.phase == RECALLED or name in taken:
+            back.setdefault(nodes[name].site, []).append(name)
     for site, sums in sorted(found.items()):
         short = sums.need - sums.bears
         if short <= 0:
             continue
-        here = [name for name in order if nodes[name].site == site]
-        for name, held in permits.items():
-            if nodes[name].site == site and (held.phase == RECALLED or name in taken):
-                short -= back_bears(state, nodes[name], moment)
-        for name in here:
+        short -= sum(back_bears(state, nodes[name], moment) for name in back.get(site, ()))
+        for name in here[site]:
             if short > 0 and name not in taken:
                 taken.add(name)
                 short -= back_bears(state, nodes[name], moment)
--- a/lemonlead/drains/ground.py
+++ b/lemonlead/drains/ground.py
@@ -94,9 +94,11 @@
 
 
 def site_objections(held, moment, touched, going, found):
-    nodes = held.part("nodes")
+    nodes, by_site = held.part("nodes"), {}
+    for name in going:
+        by_site.setdefault(nodes[name].site, []).append(name)
     for site in sorted(touched):
-        of, here = found[site], [name for name in going if nodes[name].site == site]
+        of, here = found[site], by_site.get(site, ())
         left = of.bears - sum(bears(nodes[name], moment, held.terms) for name in here)
         if left < of.need:
             yield SiteShort(f"site {site} would bear {left} units, {of.need} are promised")
--- a/lemonlead/drains/planner.py
+++ b/lemonlead/drains/planner.py
@@ -3,13 +3,16 @@
 Each node takes part of some limits (one for each of its groups, its site's units and its site's share); a
 wave fits while no limit is overdrawn. That is colouring (groups that can miss one node) and packing (sites)
 in one. First fit, the scarcest first, then again by the waves found, last wave first: that never takes more
-waves and often fewer. After an event only what it touched is placed anew."""
+waves and often fewer. After an event only what it touched is placed anew. What goes over all nodes is done in
+slices, so that whoever plans may look up in between."""
 
 import random
 from dataclasses import dataclass, field
+from itertools import islice
 
 TRIES = 60  # more rounds while the waves are more than the lower bound
 WORK = 20_000  # nodes placed in all rounds: large fleets get fewer
+PIECE = 250  # nodes between two yields of work in slices
 WITHIN = 1.25  # of the lower bound: past it, a plan that was changed is made anew
 
 
@@ -31,19 +34,43 @@
     return None
 
 
+def through(work):
+    """What work in slices (a generator that yields how many nodes it looked at) comes to, done at once."""
+    while True:
+        try:
+            next(work)
+        except StopIteration as ended:
+            return ended.value
+
+
+def slices(names):
+    """These in pieces of PIECE."""
+    rest = iter(names)
+    while some := list(islice(rest, PIECE)):
+        yield some
+
+
 def lower_bound(asked, names):
     """No plan for these takes fewer waves."""
+    return through(bounding(asked, names))
+
+
+def bounding(asked, names):
     parts = {}
-    for name in names:
-        for limit, much in asked.takes[name]:
-            if much:
-                sizes = parts.get(limit)
-                if sizes is None:
-                    sizes = parts[limit] = {}
-                sizes[much] = sizes.get(much, 0) + 1
+    for some in slices(names):
+        for name in some:
+            for limit, much in asked.takes[name]:
+                if much:
+                    sizes = parts.get(limit)
+                    if sizes is None:
+                        sizes = parts[limit] = {}
+                    sizes[much] = sizes.get(much, 0) + 1
+        yield len(some)
     most = 1 if names else 0
-    for limit, sizes in parts.items():
-        most = max(most, waves_for(sizes, asked.caps[limit]))
+    for some in slices(parts.items()):
+        for limit, sizes in some:
+            most = max(most, waves_for(sizes, asked.caps[limit]))
+        yield len(some)
     return most
 
 
@@ -88,13 +115,22 @@
 
     def make(self, asked):
         """All anew."""
+        through(self.making(asked))
+
+    def making(self, asked):
+        """In slices; the plan is whole once it is through."""
         self.fresh = True
         self.asked = asked
-        self.blocked = {name: limit for name in asked.takes if (limit := blocked(asked, name)) is not None}
+        self.blocked = {}
+        for some in slices([*asked.takes]):
+            for name in some:
+                if (limit := blocked(asked, name)) is not None:
+                    self.blocked[name] = limit
+            yield len(some)
         names = [name for name in asked.takes if name not in self.blocked]
-        self.bound = lower_bound(asked, names)
+        self.bound = yield from bounding(asked, names)
         rounds = max(1, min(TRIES, WORK // max(1, len(names))))
-        self.fill(self.scarcest(names))
+        yield from self.filling((yield from self.sorting(names)))
         best, chance = self.waves, random.Random(len(names))
         for turn in range(rounds):
             if len(best) <= self.bound:
@@ -103,37 +139,49 @@
                 waves = [chance.sample([*wave], len(wave)) for wave in chance.sample(best, len(best))]
             else:
                 waves = best[::-1] if turn % 3 else sorted(best, key=len, reverse=True)
-            self.fill(self.by_rank([name for wave in waves for name in wave]))
+            yield from self.filling(self.by_rank([name for wave in waves for name in wave]))
             if len(self.waves) <= len(best):
                 best = self.waves
         if self.waves is not best:
-            self.fill([name for wave in best for name in wave])
+            yield from self.filling([name for wave in best for name in wave])
 
-    def fill(self, names):
+    def filling(self, names):
         self.waves, self.used, self.where, self.first, self.least = [], [], {}, {}, {}
         self.took, self.totals, self.most, self.index = {}, {}, {}, None
-        for name in names:
-            self.note(name)
-        for name in names:
-            self.place(name)
+        for some in slices(names):
+            for name in some:
+                self.note(name)
+            yield len(some)
+        for some in slices(names):
+            for name in some:
+                self.place(name)
+            yield len(some)
 
     def by_rank(self, names):
         ranks = self.asked.ranks
         return sorted(names, key=lambda name: ranks.get(name, ())) if ranks else names
 
     def scarcest(self, names):
+        return through(self.sorting(names))
+
+    def sorting(self, names):
         """Those whose limits need the most waves come first."""
-        takes, caps, sums = self.asked.takes, self.asked.caps, {}
-        for name in names:
-            for limit, much in takes[name]:
-                sums[limit] = sums.get(limit, 0) + much
+        takes, caps, sums, keys = self.asked.takes, self.asked.caps, {}, {}
+        for some in slices(names):
+            for name in some:
+                for limit, much in takes[name]:
+                    sums[limit] = sums.get(limit, 0) + much
+            yield len(some)
         press = {limit: total / max(1, caps[limit]) for limit, total in sums.items()}
 
         def hard(name):
             found = [(press[limit], much) for limit, much in takes[name] if much]
             return -max(found, default=(0, 0))[0], -sum(p for p, _ in found), -sum(m for _, m in found), name
 
-        return self.by_rank(sorted(names, key=hard))
+        for some in slices(names):
+            keys |= {name: hard(name) for name in some}
+            yield len(some)
+        return self.by_rank(sorted(names, key=keys.get))
 
     # ---- one node
 
--- a/lemonlead/drains/view.py
+++ b/lemonlead/drains/view.py
@@ -5,7 +5,7 @@
 
 from ..ledger.capacity import FAILED, SERVING, up
 from .ground import NO_LOAD, NO_SITE
-from .planner import Asked
+from .planner import Asked, slices, through
 from .rules import RECALLED
 
 NEVER = 1 << 62
@@ -24,11 +24,17 @@
     def update(self, state, running, late):
         """Makes `asked` right for this state; returns the names whose takes changed and the limits whose
         caps did. `late`: nodes whose permits are no longer waited for."""
+        return through(self.updating(state, running, late))
+
+    def updating(self, state, running, late):
+        """In slices; `asked` is right once it is through."""
         changed = self.changed(state, late)
         names, limits = changed, set()
         self.regroup(state, changed)
-        for name in changed:
-            self.reckon(state, name, late)
+        for some in slices(changed):
+            for name in some:
+                self.reckon(state, name, late)
+            yield len(some)
         self.late = late
         self.recap(state, limits)
         several = len(running) > 1
@@ -38,10 +44,12 @@
             self.asked.ranks.clear()
         ranks = {name: (one.deadline_ms or NEVER, one.since) for name, one in running.items()}
         moved = set()
-        for name in names:
-            self.take(state, name, moved)
-            if several and name in self.asked.takes:
-                self.asked.ranks[name] = min(ranks[one] for one in state.part("wants")[name])
+        for some in slices(names):
+            for name in some:
+                self.take(state, name, moved)
+                if several and name in self.asked.takes:
+                    self.asked.ranks[name] = min(ranks[one] for one in state.part("wants")[name])
+            yield len(some)
         return moved, limits
 
     def changed(self, state, late):
--- a/lemonlead/standins/drain_world.py
+++ b/lemonlead/standins/drain_world.py
@@ -47,6 +47,7 @@
         self.now, self.wall, self.term, self.ids = 0, 1_000_000, 1, 0
         self.office_moment, self.office_now = 0, 0
         self.duty, self.follow = Drains(late), followers.Followers()
+        self.slow = False  # whether a look's slices are a step apart each
         self.blocked = 0  # the duty proposes nothing before this
         self.watch = Watch(self.terms.lease, self.terms.grace, self.terms.cold_share, self.terms.site_share)
         self.broken, self.refused, self.waves, self.wave_at = [], 0, 0, -1
@@ -121,11 +122,13 @@
         self.lead()
 
     def lead(self):
-        for _ in range(200):
+        for _ in range(5000):
             if self.now < self.blocked:
                 return
             wanted = self.follow.next(self.now, self.state)
             wanted = wanted or self.duty.next(self.now, self.wall, self.state, self.follow)
+            if wanted is None and self.duty.working and not self.slow:
+                continue
             if wanted is None:
                 return
             nodes = self.state.part("nodes")
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lemonlead.drains import faults, rules
+from lemonlead.drains import duty, faults, planner, rules
 from lemonlead.drains.planner import Asked, Plan, lower_bound
 from lemonlead.drains.view import View
 from lemonlead.ledger.faults import Fault, Senseless
@@ -763,7 +763,54 @@
 @settings(max_examples=40, deadline=None)
 @given(st.integers(0, 10**6))
 def test_whatever_happens_nothing_breaks_and_each_drain_ends(seed):
-    chaos = Chaos(seed)
+    whatever(Chaos(seed))
+
+
+@settings(max_examples=15, deadline=None)
+@given(st.integers(0, 10**6))
+def test_whatever_happens_while_a_look_is_under_way_nothing_breaks_and_each_drain_ends(seed):
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(planner, "PIECE", 2)
+        patch.setattr(duty, "SLICE", 8)
+        chaos = Chaos(seed)
+        chaos.world.slow = True
+        whatever(chaos, 20_000)
+
+
+def test_no_look_of_the_leader_is_long():
+    """A fleet's plan in one go would keep a leader of 10,000 nodes from its beats."""
+    made, placed, most, calls = world(2500, "abcdefghij"), [0], 0, 0
+    begin(made, names(2500))
+    place = planner.Plan.place
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            planner.Plan, "place", lambda *some: place(*some) or placed.__setitem__(0, placed[0] + 1)
+        )
+        found, before = None, 0
+        while found is None and calls < 1000:
+            found = made.duty.next(made.now, made.wall, made.state, made.follow)
+            assert (found is None) is made.duty.working and made.duty.wake_at() <= made.now + 1 or found
+            most, before, calls = max(most, placed[0] - before), placed[0], calls + 1
+    assert len(found.nodes) == 620 and placed[0] >= 2500  # a quarter of each site
+    assert most <= duty.SLICE + planner.PIECE
+
+
+def test_a_wave_planned_before_a_node_failed_is_planned_anew():
+    made = world(6)
+    made.ask("group", group="g", nodes=names(3), quorum=2)
+    begin(made, names(2))
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(duty, "SLICE", 1)
+        while not made.duty.plan.where:
+            assert made.duty.next(made.now, made.wall, made.state, made.follow) is None
+        assert made.duty.working
+        made.fail("n2")
+        while (found := made.duty.next(made.now, made.wall, made.state, made.follow)) is None:
+            assert made.duty.wake_at() <= made.now + 1
+    assert isinstance(found, rules.DrainTold) and found.stuck[0].type == "GroupShort"
+
+
+def whatever(chaos, most=2000):
     made = chaos.world
     for _ in range(60):
         chaos.once()
@@ -771,7 +818,7 @@
             made.step(chaos.chance.choice((5 * MS, 50 * MS, 400 * MS)))
         assert made.broken == []
     chaos.calm()
-    assert made.run(lambda w: done(w) and not permits(w), 2000, 500 * MS), (
+    assert made.run(lambda w: done(w) and not permits(w), most, 500 * MS), (
         dict(made.state.part("progress")),
         dict(made.state.part("permits")),
     )
