--- a/benchmarks/whole.py
+++ b/benchmarks/whole.py
@@ -120,7 +120,7 @@
             code, body = cluster.done(id=f"{command['kind']}/{command['member']}/{turn}", **command)
             if code == 200:
                 return
-            if "still being seated" not in body["error"]["says"]:
+            if not any(says in body["error"]["says"] for says in ("still being seated", "nobody waits")):
                 raise Impatient(f"{command}: {body}")
             time.sleep(0.05)
         raise Impatient(f"{command}: {body}")
--- a/lemonlead/member/asking.py
+++ b/lemonlead/member/asking.py
@@ -54,11 +54,11 @@
                 raise aiohttp.ClientPayloadError("the answer is not what its check says")
             return answer.status, bytes(body)
 
-    async def greet(self, address):
-        """Who answers there, or None."""
+    async def greet(self, address, patience=0):
+        """Who answers there, or None; within `patience` seconds where that is more than usual."""
         self.counts["greetings"] += 1
         try:
-            status, body = await self.ask("GET", address, "/peer/hello", self.patience)
+            status, body = await self.ask("GET", address, "/peer/hello", max(self.patience, patience))
             return GREETING.decode(body) if status == 200 else None
         except (*TROUBLE, msgspec.MsgspecError, UnicodeError):
             return None
--- a/lemonlead/member/forming.py
+++ b/lemonlead/member/forming.py
@@ -14,6 +14,7 @@
 from .asking import TROUBLE, headers
 
 LOOK_FIRST, LOOK_MOST = 50_000_000, 1_000_000_000  # between two looks at who answers, nanoseconds
+ADD_TIME = 3  # seconds for one that is to be added to say who it is
 HAND_TIME = 10  # seconds for a peer to take a base
 HAND_PAUSE = 200_000_000  # before the same peer is handed one again
 
@@ -141,7 +142,7 @@
             return data  # whoever reads it says what is wrong with it
         if kind.kind != "add":
             return data
-        found = await self.asking.greet(kind.address) if numeric(kind.address) else None
+        found = await self.asking.greet(kind.address, ADD_TIME) if numeric(kind.address) else None
         fits = found is not None and found.name == command.get("member") and not found.cluster
         return msgspec.json.encode({**command, "folder": found.folder if fits else ""})
 
