--- a/benchmarks/whole.py
+++ b/benchmarks/whole.py
@@ -172,6 +172,7 @@
     def __init__(self, all_):
         super().__init__(daemon=True)
         self.all_, self.stopped, self.counts, self.failed = all_, threading.Event(), Counter(), []
+        self.sides = list(all_.clusters.values())  # the one that holds the service first
 
     def run(self):
         try:
@@ -192,8 +193,8 @@
         self.counts["drains done"] += 1
 
     def move(self, number):
-        here, there = list(self.all_.clusters.values())
-        source, to = (here, there) if number % 2 else (there, here)
+        """From the side that holds the service to the other; each third one is stopped on its way."""
+        source, to = self.sides
         told = {"kind": "move", "move": f"m{number}", "service": "front", "to": to.cluster}
         code, body = source.done(300, id=f"move/{number}", **told)
         assert code == 200, body
@@ -201,8 +202,8 @@
             source.done(300, id=f"stop/{number}", kind="move_stop", move=f"m{number}")
         one = self.wait("moves", f"m{number}", lambda one: one["end"] and one["told"], source)
         self.counts[f"moves {one['end']}"] += 1
-        if one["end"] != "done":  # it is still at the source: the other way round it would find nothing
-            self.move(number + 2 if number % 3 else number + 4)
+        if one["end"] == "done":
+            self.sides.reverse()
 
     def wait(self, part, name, condition, cluster=None):
         while not self.stopped.is_set():
