--- a/lemonlead/drains/view.py
+++ b/lemonlead/drains/view.py
@@ -29,6 +29,7 @@
     def updating(self, state, running, late):
         """In slices; `asked` is right once it is through."""
         changed = self.changed(state, late)
+        yield len(state.part("nodes")) // 10
         names, limits = changed, set()
         self.regroup(state, changed)
         for some in slices(changed):
