--- a/benchmarks/whole.py
+++ b/benchmarks/whole.py
@@ -2,7 +2,7 @@
 that moves there and back, lookups and commands under way; and members that are killed (every other time with
 the folder wiped), paused and cut off, one trouble after the other.
 
-python -m benchmarks.whole --kills 200 --seed 1 [--gateways 2] [--nodes 6] [--folder DIR]
+python -m benchmarks.whole --kills 200 --seed 1 [--gateways 2] [--nodes 6] [--only kill,wipe] [--folder DIR]
 
 At most one machine is lost at a time: the next fault waits until the replacement votes. Prints what was
 done, what was counted at clients and nodes, and each fault found; exits 1 if there is any. All of it runs
@@ -44,14 +44,15 @@
     """Causes one trouble after the other at drawn members. `gaps`: seconds from a trouble at a leader
     until the next command was acknowledged there, by trouble."""
 
-    def __init__(self, all_, seed):
+    def __init__(self, all_, seed, only):
+        self.only = only
         self.all_, self.random, self.counts, self.gaps = all_, random.Random(seed), Counter(), {}
         self.seated = {name: list(cluster.forming) for name, cluster in all_.clusters.items()}
         self.number = 10
 
     def next(self):
         name = self.random.choice(sorted(self.seated))
-        cluster, what = self.all_.clusters[name], self.random.choice(TROUBLES)
+        cluster, what = self.all_.clusters[name], self.random.choice(self.only)
         victim = self.random.choice(self.seated[name])
         leader = cluster.wait_leader()
         if self.random.random() < 0.5:
@@ -228,7 +229,8 @@
         assert louis.done(id="front", **told)[0] == 200
         all_.serve().operate(count=2).operate(count=2, cluster=ebene)
         all_.wait_lookups(50)
-        troubles, work, began = Troubles(all_, arguments.seed), Work(all_), time.monotonic()
+        troubles = Troubles(all_, arguments.seed, arguments.only.split(","))
+        work, began = Work(all_), time.monotonic()
         work.start()
         killed = 0
         try:
@@ -274,6 +276,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--gateways", type=int, default=2)
     parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--only", default=",".join(TROUBLES), help="the troubles to draw from")
     parser.add_argument("--folder")
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
