--- a/benchmarks/list_changes.py
+++ b/benchmarks/list_changes.py
@@ -26,9 +26,18 @@
 S = 1_000_000_000
 MODULE = "module: "
 UNITS = {
-    "ready": "s", "start CPU": "s", "memory": "MB", "memory after": "MB", "CPU at rest": "%", "change": "ms",
-    "whole list": "ms", "request": "ms", MODULE + "change": "ms", MODULE + "request": "ms",
-    MODULE + "request on trial": "ms", MODULE + "tick": "ms",
+    "ready": "s",
+    "start CPU": "s",
+    "memory": "MB",
+    "memory after": "MB",
+    "CPU at rest": "%",
+    "change": "ms",
+    "whole list": "ms",
+    "request": "ms",
+    MODULE + "change": "ms",
+    MODULE + "request": "ms",
+    MODULE + "request on trial": "ms",
+    MODULE + "tick": "ms",
 }
 
 
@@ -80,11 +89,18 @@
     closing = contextlib.closing
     with tempfile.TemporaryDirectory() as folder, closing(discovery), closing(instances):
         config = Path(folder) / "config.json"
-        config.write_text(json.dumps({
-            "name": "g0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "8c1f30d27a5be964",
-            "known": {"version": 1, "full": True, "servers": servers},
-            "settings": {**SETTINGS, "Discovery": "push"},
-        }))
+        config.write_text(
+            json.dumps(
+                {
+                    "name": "g0",
+                    "listen": "127.0.0.1:0",
+                    "discovery": discovery.address,
+                    "seed": "8c1f30d27a5be964",
+                    "known": {"version": 1, "full": True, "servers": servers},
+                    "settings": {**SETTINGS, "Discovery": "push"},
+                }
+            )
+        )
         words, begun = [sys.executable, "-m", "lemonlead.gateway"], time.monotonic()
         environment = {**os.environ, **TUNED, "ROUTER_CONFIG": str(config)}
         with open(Path(folder) / "log", "w+") as log:
@@ -162,11 +178,23 @@
 def module(size):
     chance, now = random.Random(1), 1000 * S
     request_class = at.RequestClass(0, at.IDEMPOTENT, S, 4 * S, 1.0)
-    made = Balancer(at.Start(
-        now=now, seed=1, me=3, balancers=2800, step=5_000_000, request_classes=[request_class],
-        idle_time=15 * S, attempts_cap=4, cold_time=5 * S, cold_share=0.4, cold_multiple=3.0,
-        cold_window=2 * S, release=at.Release(window=4 * S, free_attempts=50, vote_life=4 * S),
-    ))
+    made = Balancer(
+        at.Start(
+            now=now,
+            seed=1,
+            me=3,
+            balancers=2800,
+            step=5_000_000,
+            request_classes=[request_class],
+            idle_time=15 * S,
+            attempts_cap=4,
+            cold_time=5 * S,
+            cold_share=0.4,
+            cold_multiple=3.0,
+            cold_window=2 * S,
+            release=at.Release(window=4 * S, free_attempts=50, vote_life=4 * S),
+        )
+    )
     lines = [
         at.Instance(f"s-{n}", chance.randrange(16), chance.randrange(3), 1, 0, at.READY, 1.0, 0)
         for n in range(size)
@@ -249,10 +277,14 @@
             for name, unit in UNITS.items():
                 print(f"{name + ', ' + unit:28}" + "".join(f"{got[name]:10.2f}" for got in found.values()))
                 points = [{"x": size, "y": round(got[name], 4)} for size, got in found.items()]
-                slopes.append({
-                    "name": name if way == "now" else f"{name}, {way}", "by": "instances", "points": points,
-                    "unit": unit,
-                })
+                slopes.append(
+                    {
+                        "name": name if way == "now" else f"{name}, {way}",
+                        "by": "instances",
+                        "points": points,
+                        "unit": unit,
+                    }
+                )
     if asked.json:
         Path(asked.json).write_text(json.dumps(slopes, indent=1) + "\n")
 
--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -65,9 +65,7 @@
         furnish(world, "ebene", nodes=64, units=100)
         louis = world.sides["louis"]
         for number in range(count):
-            louis.do(capacity.Reserve(
-                reservation=f"r{number}", service=f"s{number}", units=50, site="louis"
-            ))
+            louis.do(capacity.Reserve(reservation=f"r{number}", service=f"s{number}", units=50, site="louis"))
         for number in range(count):
             begin(world, f"m{number}", f"s{number}", id=f"b{number}")
         began, calls = time.thread_time(), louis.duty.counts
@@ -155,13 +153,18 @@
         print(f"{fault:28}" + "".join(f"{t / plain:10.2f}{' ' if good == 1 else '!'}" for good, t in row))
     for cut, times in result["settled after a cut, s"].items():
         by = times["worst"] * SECOND / LONGEST_WAIT
-        print(f"after {cut}: next step {times['median']:.2f} s (median), {times['worst']:.2f} s (worst), "
-              f"{by:.2f} of the longest wait")
+        print(
+            f"after {cut}: next step {times['median']:.2f} s (median), {times['worst']:.2f} s (worst), "
+            f"{by:.2f} of the longest wait"
+        )
     for count, figures in result["at a time"].items():
-        print(f"{count} at a time: " + ", ".join(
-            f"{name} {value:.1f}" if isinstance(value, float) else f"{name} {value}"
-            for name, value in figures.items()
-        ))
+        print(
+            f"{count} at a time: "
+            + ", ".join(
+                f"{name} {value:.1f}" if isinstance(value, float) else f"{name} {value}"
+                for name, value in figures.items()
+            )
+        )
     taken = result["first command among, ms"]
     print("first command among: " + ", ".join(f"{n:,}: {ms:.1f} ms" for n, ms in taken.items()))
     print(f"{result['schedules']} schedules, {result['bad']} bad {result['first bad']}, {result['ends']}")
--- a/benchmarks/schedules.py
+++ b/benchmarks/schedules.py
@@ -108,9 +108,7 @@
         return 2
     upto = told.seed + told.count
     batch = 1 if told.whole else BATCH
-    tasks = [
-        (first, min(first + batch, upto), kinds, told.whole) for first in range(told.seed, upto, batch)
-    ]
+    tasks = [(first, min(first + batch, upto), kinds, told.whole) for first in range(told.seed, upto, batch)]
     count, sums, undecided, broken, cpu, shown = 0, {}, [], None, 0.0, time.monotonic()
     with multiprocessing.get_context("spawn").Pool(told.jobs) as pool:
         for played, counts, unsure, wrong, spent in pool.imap(some, tasks):
--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -67,9 +67,14 @@
         if len(points) <= slopes.FEWEST:
             continue
         made[slope.name] = slopes.Slope(
-            name=slope.name, role=slope.role, by=part.by, unit=slope.unit,
+            name=slope.name,
+            role=slope.role,
+            by=part.by,
+            unit=slope.unit,
             points=tuple(slopes.Point(*point) for point in points[:-1]),
-            held_out=slopes.Point(*points[-1]), source=of, **slopes.fitted(points),
+            held_out=slopes.Point(*points[-1]),
+            source=of,
+            **slopes.fitted(points),
         )
     return made, unfit
 
@@ -77,8 +82,13 @@
 def listed(paths, sizes):
     """The figures of `benchmarks.list_changes`, by size; of several runs the least, which is the least
     disturbed."""
-    runs = [{slope["name"]: {point["x"]: point["y"] for point in slope["points"]}
-             for slope in json.loads(path.read_text())} for path in paths]
+    runs = [
+        {
+            slope["name"]: {point["x"]: point["y"] for point in slope["points"]}
+            for slope in json.loads(path.read_text())
+        }
+        for path in paths
+    ]
     sizes = [size for size in sizes if all(size in run["memory"] for run in runs)]
     found = {
         size: {name: min(run[figure][size] for run in runs) for name, figure in LISTED.items()}
--- a/benchmarks/slopes/gateways.py
+++ b/benchmarks/slopes/gateways.py
@@ -42,10 +42,16 @@
 
 
 LISTED = {  # by slope, the figure of `benchmarks.list_changes`
-    "gateway memory": "memory", "gateway memory after a list": "memory after", "gateway ready": "ready",
-    "gateway start CPU": "start CPU", "gateway change": "change", "gateway whole list": "whole list",
-    "gateway request": "request", "balancer request": "module: request",
-    "balancer request on trial": "module: request on trial", "balancer change": "module: change",
+    "gateway memory": "memory",
+    "gateway memory after a list": "memory after",
+    "gateway ready": "ready",
+    "gateway start CPU": "start CPU",
+    "gateway change": "change",
+    "gateway whole list": "whole list",
+    "gateway request": "request",
+    "balancer request": "module: request",
+    "balancer request on trial": "module: request on trial",
+    "balancer change": "module: change",
 }
 
 
@@ -90,11 +96,23 @@
     from lemonlead.balance import Balancer
 
     request_class = at.RequestClass(0, at.IDEMPOTENT, S, 4 * S, 1.0)
-    balancer = Balancer(at.Start(
-        now=1000 * S, seed=1, me=3, balancers=2800, step=5_000_000, request_classes=[request_class],
-        idle_time=15 * S, attempts_cap=4, cold_time=5 * S, cold_share=0.4, cold_multiple=3.0,
-        cold_window=2 * S, release=at.Release(window=4 * S, free_attempts=50, vote_life=4 * S),
-    ))
+    balancer = Balancer(
+        at.Start(
+            now=1000 * S,
+            seed=1,
+            me=3,
+            balancers=2800,
+            step=5_000_000,
+            request_classes=[request_class],
+            idle_time=15 * S,
+            attempts_cap=4,
+            cold_time=5 * S,
+            cold_share=0.4,
+            cold_multiple=3.0,
+            cold_window=2 * S,
+            release=at.Release(window=4 * S, free_attempts=50, vote_life=4 * S),
+        )
+    )
     rows = [at.Instance(f"s-{n}", n % 3, 0, 1, 0, at.READY, 1.0, 0) for n in range(20)]
     balancer.listed(1000 * S, rows, True, True)
     balancer.stage_told(1000 * S, 1, 0, at.RELEASED, 1.0, 0)
@@ -113,11 +131,14 @@
     memory = list_changes.memory(process) - before
     request = min(spent(300, lambda n: asks(size + n, n)) for _ in range(3))
     balancer.lows["tenant", 0] = 0.9  # it alone waits
-    waiting = min(spent(20, lambda n: balancer.waits(at.Request(n, request_class, 0, 0, now, now, 0)))
-                  for _ in range(3))
+    waiting = min(
+        spent(20, lambda n: balancer.waits(at.Request(n, request_class, 0, 0, now, now, 0))) for _ in range(3)
+    )
     assert len(names) == size
     return {
-        "tenants memory": memory, "tenants known": numbered, "tenants request": request * 1e6,
+        "tenants memory": memory,
+        "tenants known": numbered,
+        "tenants request": request * 1e6,
         "tenants waiting request": waiting * 1e6,
     }
 
@@ -153,10 +174,22 @@
     merge = listed()
     took = spent(1, lambda n: whole(merge))
     _, memory = kept(lambda: whole(listed()))
-    change = spent(2000, lambda n: merge.heard(1, News(
-        n + 10, [("nodes", f"s-{n * 7 % size}", {**record, "out": "d" if n % 2 else ""})], (), None, "c"
-    )))
+    change = spent(
+        2000,
+        lambda n: merge.heard(
+            1,
+            News(
+                n + 10,
+                [("nodes", f"s-{n * 7 % size}", {**record, "out": "d" if n % 2 else ""})],
+                (),
+                None,
+                "c",
+            ),
+        ),
+    )
     return {
-        "following memory": memory, "following change": change * 1e6, "following whole": took * 1e3,
+        "following memory": memory,
+        "following change": change * 1e6,
+        "following whole": took * 1e3,
         "following whole bytes": len(body),
     }
--- a/benchmarks/slopes/relays.py
+++ b/benchmarks/slopes/relays.py
@@ -13,8 +13,13 @@
 def record(n, state="up"):
     """An instance as discovery lists it."""
     return {
-        "addr": f"10.{n >> 16 & 255}.{n >> 8 & 255}.{n & 255}:7000", "zone": f"zone-{n % 16}", "kind": "std",
-        "state": state, "weight": 1.0, "started_ms": 0, "revision_no": 1,
+        "addr": f"10.{n >> 16 & 255}.{n >> 8 & 255}.{n & 255}:7000",
+        "zone": f"zone-{n % 16}",
+        "kind": "std",
+        "state": state,
+        "weight": 1.0,
+        "started_ms": 0,
+        "revision_no": 1,
     }
 
 
@@ -56,6 +61,7 @@
 
 def store(size):
     made, memory = kept(lambda: filled(size))
+
     def apply(n):
         at = made.index
         made.apply(at + 1, [(f"svc-{at % SCOPES}", f"i-{at % size}", record(at, "draining"))])
@@ -105,8 +111,10 @@
     gateway, memory = kept(takes)
     assert len(gateway.records["svc-0"]) == size, len(gateway.records["svc-0"])
     return {
-        "relay snapshot": sum(map(len, told)), "relay snapshot CPU": sending * 1e3,
-        "subscriber snapshot CPU": taking * 1e3, "subscriber memory": memory,
+        "relay snapshot": sum(map(len, told)),
+        "relay snapshot CPU": sending * 1e3,
+        "subscriber snapshot CPU": taking * 1e3,
+        "subscriber memory": memory,
     }
 
 
--- a/lemonlead/commands/capacity.py
+++ b/lemonlead/commands/capacity.py
@@ -228,11 +228,19 @@
 @command.command(name="fleet")
 @FILE
 @click.option(
-    "--slopes", "measured", default="docs/capacity/slopes.json", show_default=True,
-    type=click.Path(exists=True, dir_okay=False), help="What was measured, as benchmarks.slopes writes it.",
+    "--slopes",
+    "measured",
+    default="docs/capacity/slopes.json",
+    show_default=True,
+    type=click.Path(exists=True, dir_okay=False),
+    help="What was measured, as benchmarks.slopes writes it.",
 )
 @click.option(
-    "--page", "to", default="docs/CAPACITY.md", show_default=True, type=click.Path(dir_okay=False),
+    "--page",
+    "to",
+    default="docs/CAPACITY.md",
+    show_default=True,
+    type=click.Path(dir_okay=False),
     help="The page to write.",
 )
 @JSON
@@ -255,9 +263,15 @@
         unfit(to, "the page", error.strerror, "a place that can be written", as_json)
     if not as_json:
         return click.echo(to)
-    return click.echo(json.dumps({
-        "page": to, "wanted": page.wanted(wanted, found), "roles": page.size_rows(wanted, found),
-    }))
+    return click.echo(
+        json.dumps(
+            {
+                "page": to,
+                "wanted": page.wanted(wanted, found),
+                "roles": page.size_rows(wanted, found),
+            }
+        )
+    )
 
 
 PAGE = """<!doctype html><html><head><meta charset="utf-8"><title>Capacity of {file}</title>
--- a/lemonlead/following/driver.py
+++ b/lemonlead/following/driver.py
@@ -303,4 +303,3 @@
         counts |= {"ledger index": self.course.at, "ledger unheard ms": self.course.unheard(now())}
         counts |= self.service.figures() if self.service is not None else {}
         return {**counts, "ledger held back": self.merge.held_back()}
-
--- a/lemonlead/following/sides.py
+++ b/lemonlead/following/sides.py
@@ -10,7 +10,17 @@
 from zlib import crc32
 
 from ..interface import (
-    CANCELLED, DRAINING, GOING_BACK, GONE, ON_TRIAL, READY, RELEASED, RESET, SPOILT, TIMED_OUT, UNCONNECTED,
+    CANCELLED,
+    DRAINING,
+    GOING_BACK,
+    GONE,
+    ON_TRIAL,
+    READY,
+    RELEASED,
+    RESET,
+    SPOILT,
+    TIMED_OUT,
+    UNCONNECTED,
 )
 
 SHIFTING, ALL = "shifting", 1000  # a record's step; thousandths
--- a/lemonlead/gateway/__main__.py
+++ b/lemonlead/gateway/__main__.py
@@ -77,7 +77,8 @@
     count, known = len(known[1]), None
     changed = threading.Event()
     threads = [
-        dispatcher.keep_time, discovery.run,
+        dispatcher.keep_time,
+        discovery.run,
         lambda: reread(changed, server, discovery, releases, dispatcher, log),
     ]
     threads += [releases.hear, releases.poll] if config.platform else []
--- a/lemonlead/gateway/buffer.py
+++ b/lemonlead/gateway/buffer.py
@@ -1,6 +1,5 @@
 """The bytes that a connection has brought and that are not used yet."""
 
-
 KEPT = 8192  # bytes that a buffer keeps once it is empty, so that one large command does not cost for good
 
 
--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -340,7 +340,11 @@
 
     def __init__(self, config, dispatcher, thread_pool, log, counters):
         self.config, self.dispatcher, self.thread_pool, self.log, self.counters = (
-            config, dispatcher, thread_pool, log, counters
+            config,
+            dispatcher,
+            thread_pool,
+            log,
+            counters,
         )
         self.most, self.stopping, self.closing = config.connections // 2, False, False
         self.closed = threading.Event()
@@ -423,7 +427,8 @@
             rest = HARDLY_USED if full else UNUSED
             idle = [client for client in clients if client.doubtful() and client.since < moment - MUTE]
             idle = [client for client in idle if client.idle()] or [
-                client for client in clients if client.since < moment - rest and client.idle()]
+                client for client in clients if client.since < moment - rest and client.idle()
+            ]
             if idle:
                 min(idle, key=lambda client: client.since).leave("made room")
             if not full:
--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -110,11 +110,18 @@
                 number(entry.get(name), otherwise)
                 for name, otherwise in (("revision_no", 0), ("cell", 0), ("weight", 1.0), ("started_ms", 0))
             )
-            lines.append(at.Instance(
-                id, self.config.zones.get(entry.get("zone"), -1),
-                self.config.kinds.get(entry.get("kind"), -1),
-                int(build), int(cell), state, float(weight), in_ns(started),
-            ))
+            lines.append(
+                at.Instance(
+                    id,
+                    self.config.zones.get(entry.get("zone"), -1),
+                    self.config.kinds.get(entry.get("kind"), -1),
+                    int(build),
+                    int(cell),
+                    state,
+                    float(weight),
+                    in_ns(started),
+                )
+            )
             where = None
             if state == at.READY:
                 host, port = address(entry["addr"])
--- a/lemonlead/gateway/platform.py
+++ b/lemonlead/gateway/platform.py
@@ -6,7 +6,10 @@
 
 LONGEST_LINE = 8192
 PHASES = {
-    "trial": at.ON_TRIAL, "rolling_back": at.GOING_BACK, "released": at.RELEASED, "withdrawn": at.TAKEN_OFF,
+    "trial": at.ON_TRIAL,
+    "rolling_back": at.GOING_BACK,
+    "released": at.RELEASED,
+    "withdrawn": at.TAKEN_OFF,
 }
 VERDICTS = {at.NO_VOTE: "blank", at.ON: "go", at.HOLD: "stay", at.BACK: "stop"}
 REFUSALS = {"Throttling": at.OVER_ALLOWANCE, "ConditionFailed": at.MOOT}
--- a/lemonlead/gateway/sorting.py
+++ b/lemonlead/gateway/sorting.py
@@ -22,7 +22,11 @@
 class Sorting:
     def __init__(self, config, path, dispatcher, log, counters):
         self.config, self.path, self.dispatcher, self.log, self.counters = (
-            config, Path(path), dispatcher, log, counters
+            config,
+            Path(path),
+            dispatcher,
+            log,
+            counters,
         )
         self.names = {request_class.number: name for name, request_class in config.request_classes.items()}
         self.room, self.standing = config.memory // SHARE, Standing()
--- a/lemonlead/ledger/replica.py
+++ b/lemonlead/ledger/replica.py
@@ -343,9 +343,7 @@
     def reply(self, message, kind, after=None, **fields):
         """An answer, once the Write that it rests on is on disk; at least the one that moved the term."""
         told = self.told
-        made = kind(
-            told.cluster, told.name, told.folder, message.sender, message.seal, self.term, **fields
-        )
+        made = kind(told.cluster, told.name, told.folder, message.sender, message.seal, self.term, **fields)
         self.post(made, after)
 
     def post(self, message, after=None):
--- a/lemonlead/matching/declared.py
+++ b/lemonlead/matching/declared.py
@@ -29,7 +29,8 @@
             "command": (STRING, Bounds(16)),
             "key": (STRING, Bounds(self.key)),
             "lane": (
-                STRING, Bounds(max(map(len, self.request_classes), default=128), values=request_classes)
+                STRING,
+                Bounds(max(map(len, self.request_classes), default=128), values=request_classes),
             ),
             "customer": (STRING, Bounds(self.customer)),
             "wait": (DURATION, moment),
--- a/lemonlead/matching/rules.py
+++ b/lemonlead/matching/rules.py
@@ -164,8 +164,14 @@
     """A whole set, checked. It does not change; many threads may ask it."""
 
     def __init__(
-        self, version, written, request_classes, tenants, declared=None, rule_cost=RULE_COST,
-        set_cost=SET_COST
+        self,
+        version,
+        written,
+        request_classes,
+        tenants,
+        declared=None,
+        rule_cost=RULE_COST,
+        set_cost=SET_COST,
     ):
         """`request_classes`: at.RequestClass by name, without any their names are not looked at; `tenants`:
         names, any collection, or None likewise. Raises Unfit with all faults at once."""
@@ -267,7 +273,10 @@
                 return NAME, f"no lane {other!r} (there is {', '.join(self.request_classes)})"
             if reached and not may_become(lane, self.request_classes[other], stamped):
                 mark = (
-                    "" if lane.effect != at.IDEMPOTENT else ", idempotency key" if stamped
+                    ""
+                    if lane.effect != at.IDEMPOTENT
+                    else ", idempotency key"
+                    if stamped
                     else ", no idempotency key"
                 )
                 become = (
--- a/lemonlead/member/outside.py
+++ b/lemonlead/member/outside.py
@@ -225,9 +225,7 @@
             if state is None:
                 return await self.pass_on(request, leader)
         async with self.whole:
-            head = ENCODE(
-                {"at": state.index, "moment": state.moment, "cluster_id": self.cluster_id, **more}
-            )
+            head = ENCODE({"at": state.index, "moment": state.moment, "cluster_id": self.cluster_id, **more})
             return answer(200, head[:-1], b',"items":', await rows(whole.shown(state, name)), b"}")
 
     async def events(self, request):
--- a/lemonlead/member/peers.py
+++ b/lemonlead/member/peers.py
@@ -121,9 +121,7 @@
         self.messages.append(data)
         self.size += len(data)
         dropped = 0
-        while len(self.messages) > 1 and (
-            len(self.messages) > MOST_QUEUED or self.size > MOST_QUEUED_BYTES
-        ):
+        while len(self.messages) > 1 and (len(self.messages) > MOST_QUEUED or self.size > MOST_QUEUED_BYTES):
             self.size -= len(self.messages.popleft())
             dropped += 1
         self.filled.set()
--- a/lemonlead/member/run.py
+++ b/lemonlead/member/run.py
@@ -289,7 +289,8 @@
         now["connections"] = len(self.runner.server.connections) if self.runner.server else 0
         if host is not None:
             tables += [
-                ("loop", host.counts), ("dispatcher", host.dispatcher.counts),
+                ("loop", host.counts),
+                ("dispatcher", host.dispatcher.counts),
                 ("raft", host.dispatcher.replica.counts),
             ]
             now.update(
--- a/lemonlead/member/whole.py
+++ b/lemonlead/member/whole.py
@@ -23,7 +23,9 @@
 def duties(dispatcher, cluster, clusters, seed):
     """What a leader does unasked. `cluster`: this one's name; `clusters`: names of those it can call."""
     return [
-        seating.Seating(dispatcher), followers.Forgetting(dispatcher), Drains(),
+        seating.Seating(dispatcher),
+        followers.Forgetting(dispatcher),
+        Drains(),
         Moving(cluster, clusters, seed),
     ]
 
--- a/lemonlead/moves/rules.py
+++ b/lemonlead/moves/rules.py
@@ -15,8 +15,17 @@
 from ..ledger.faults import Refused, Senseless
 from ..ledger.state import Command
 from .faults import (
-    DecidedElsewhere, GangRuns, HoldEnded, HoldKept, MoveKnown, MoveOpen, NoRoomThere, NotAwaited,
-    NothingToMove, Outdated, TooLate,
+    DecidedElsewhere,
+    GangRuns,
+    HoldEnded,
+    HoldKept,
+    MoveKnown,
+    MoveOpen,
+    NoRoomThere,
+    NotAwaited,
+    NothingToMove,
+    Outdated,
+    TooLate,
 )
 
 # Steps of a source's record. While it is ASKED the destination has not been called. Up to SHIFTING a move may
--- a/lemonlead/moves/steps.py
+++ b/lemonlead/moves/steps.py
@@ -16,8 +16,20 @@
 from . import rules
 from .faults import HoldKept
 from .rules import (
-    ASKED, BAKE, BEFORE_SETTLING, DROPPING, GOING_BACK, MEMBERS, OVERDUE, PATIENCE, REFUSED, RESERVING,
-    SETTLING, SHIFTING, STAGES, WARMING,
+    ASKED,
+    BAKE,
+    BEFORE_SETTLING,
+    DROPPING,
+    GOING_BACK,
+    MEMBERS,
+    OVERDUE,
+    PATIENCE,
+    REFUSED,
+    RESERVING,
+    SETTLING,
+    SHIFTING,
+    STAGES,
+    WARMING,
 )
 
 SECOND = 1_000_000_000
--- a/lemonlead/planning/fleet.py
+++ b/lemonlead/planning/fleet.py
@@ -80,9 +80,10 @@
         moved = {
             name: replace(
                 site,
-                load={request_class: site.load.get(
-                    request_class, 0.0
-                ) + load[request_class] for request_class in self.request_classes}
+                load={
+                    request_class: site.load.get(request_class, 0.0) + load[request_class]
+                    for request_class in self.request_classes
+                },
             )
             for name, site in kept.items()
         }
--- a/lemonlead/planning/loopback.py
+++ b/lemonlead/planning/loopback.py
@@ -158,11 +158,7 @@
         with self.lock:
             self.spare.setdefault(port, []).append(client)
         return (
-            "rejected"
-            if answer.startswith(b"BUSY")
-            else "succeeded"
-            if answer == key.encode()
-            else "aborted"
+            "rejected" if answer.startswith(b"BUSY") else "succeeded" if answer == key.encode() else "aborted"
         )
 
 
--- a/lemonlead/planning/page.py
+++ b/lemonlead/planning/page.py
@@ -11,19 +11,34 @@
 WIDTH = 120
 FAR = 0.2  # off by more at the point kept out, and a line is named as one that does not hold
 HEADS = {
-    "calm": "calm", "rack": "a rack lost", "zone": "a zone lost", "restart": "all gateways restarted",
-    "cut": "after a region's cut", "change": "a change of configuration",
+    "calm": "calm",
+    "rack": "a rack lost",
+    "zone": "a zone lost",
+    "restart": "all gateways restarted",
+    "cut": "after a region's cut",
+    "change": "a change of configuration",
 }
 
 
 def page(targets, slopes):
     rows = wanted(targets, slopes)
     parts = [
-        HEAD, in_short(rows), "## The operators' figures", ABOUT_WANTED, table(rows),
-        "## What each role costs: slopes", ABOUT_SLOPES, table(slope_rows(targets, slopes)),
-        "## What each role needs at that size", about_sizes(targets), table(size_rows(targets, slopes)),
-        "## Measured, worked out, guessed", *honest(targets, slopes), runs(slopes),
-        "## The stampede in small", *stampede(slopes.stampede),
+        HEAD,
+        in_short(rows),
+        "## The operators' figures",
+        ABOUT_WANTED,
+        table(rows),
+        "## What each role costs: slopes",
+        ABOUT_SLOPES,
+        table(slope_rows(targets, slopes)),
+        "## What each role needs at that size",
+        about_sizes(targets),
+        table(size_rows(targets, slopes)),
+        "## Measured, worked out, guessed",
+        *honest(targets, slopes),
+        runs(slopes),
+        "## The stampede in small",
+        *stampede(slopes.stampede),
     ]
     return "\n\n".join(part if part.startswith(("#", "|")) else wrapped(part) for part in parts) + "\n"
 
@@ -82,14 +97,18 @@
 def slope_rows(targets, slopes):
     rows, order = [], list(ROLES)
     for slope in sorted(slopes.slopes, key=lambda slope: order.index(slope.role)):
-        rows.append({
-            "role": ROLES[slope.role], "what": slope.name, "unit": slope.unit,
-            "fixed + slope": formula(slope),
-            "points": ", ".join(f"{number(one.size)}: {number(one.figure)}" for one in slope.points),
-            "error of the fit": f"{100 * slope.error:.1f} %",
-            "kept out": f"{number(slope.held_out.size)}: {number(slope.held_out.figure)}",
-            "fit there off by": f"{100 * slope.held_out_error:+.1f} %",
-        })
+        rows.append(
+            {
+                "role": ROLES[slope.role],
+                "what": slope.name,
+                "unit": slope.unit,
+                "fixed + slope": formula(slope),
+                "points": ", ".join(f"{number(one.size)}: {number(one.figure)}" for one in slope.points),
+                "error of the fit": f"{100 * slope.error:.1f} %",
+                "kept out": f"{number(slope.held_out.size)}: {number(slope.held_out.figure)}",
+                "fit there off by": f"{100 * slope.held_out_error:+.1f} %",
+            }
+        )
     used = [row for row in sizing.rows(targets) if row.slope != sizing.ONE]
     missing = {row.slope: row.role for row in used if slopes.get(row.slope) is None}
     empty = dict.fromkeys(("points", "error of the fit", "kept out", "fit there off by"), "")
@@ -107,7 +126,9 @@
     rows = []
     for row in sizing.rows(targets):
         told = {
-            "role": ROLES[row.role], "what": row.what + " (g)" * row.guessed, "of": row.kind,
+            "role": ROLES[row.role],
+            "what": row.what + " (g)" * row.guessed,
+            "of": row.kind,
             "at": "each" if row.each or row.slope == sizing.ONE else number(row.size),
         }
         for condition in CONDITIONS:
@@ -158,13 +179,21 @@
 def runs(slopes):
     """The runs that gave the figures, each once."""
     sources = dict.fromkeys(one.source for one in (*slopes.slopes, *slopes.latencies, *slopes.runs))
-    return table([
-        {
-            "run": f"`{source.command}`", "date": source.date, "commit": source.commit,
-            "load beside it": f"{number(source.beside)} on {source.cores} cores",
-        }
-        for source in sources
-    ]) if sources else "No run has given a figure yet."
+    return (
+        table(
+            [
+                {
+                    "run": f"`{source.command}`",
+                    "date": source.date,
+                    "commit": source.commit,
+                    "load beside it": f"{number(source.beside)} on {source.cores} cores",
+                }
+                for source in sources
+            ]
+        )
+        if sources
+        else "No run has given a figure yet."
+    )
 
 
 def stampede(told):
--- a/lemonlead/planning/sizing.py
+++ b/lemonlead/planning/sizing.py
@@ -84,7 +84,9 @@
     services, by condition; a second in calm. After a cut come those of its length together."""
     cut = targets.guesses.cut / S
     lists = {
-        CALM: targets.instance_changes, RACK: targets.guesses.rack_instances, ZONE: targets.zone_instances,
+        CALM: targets.instance_changes,
+        RACK: targets.guesses.rack_instances,
+        ZONE: targets.zone_instances,
         CUT: targets.instance_changes * cut,
     }
     configurations = {CALM: targets.configurations, CUT: targets.configurations * cut, CHANGE: 1.0 / share}
@@ -104,8 +106,15 @@
     """All rows, by role. Those of the design hold for a gateway that routes to its share of the services, and
     again for one that routes to all."""
     return [
-        *front(targets), *lists(targets), *rules(targets), *following(targets), *subscription(targets),
-        *leader(targets), *follower(targets), *relay(targets), *discovery(targets),
+        *front(targets),
+        *lists(targets),
+        *rules(targets),
+        *following(targets),
+        *subscription(targets),
+        *leader(targets),
+        *follower(targets),
+        *relay(targets),
+        *discovery(targets),
     ]
 
 
@@ -118,8 +127,9 @@
     busy = dict.fromkeys(CONDITIONS, targets.requests)
     busy[ZONE] *= zones / (zones - 1) if zones > 1 else 1.0
     clients = targets.guesses.clients_a_gateway
-    yield Row("front", "the whole gateway with clients' connections", MEMORY, "front memory", clients,
-              guessed=True)
+    yield Row(
+        "front", "the whole gateway with clients' connections", MEMORY, "front memory", clients, guessed=True
+    )
     both = times(busy, 2.0)  # a request's from its client and its answer's from an instance, one attempt each
     for way in ("in", "out"):
         yield messages("front", f"requests and answers, {way}, one attempt each", both, steady=True)
@@ -150,8 +160,15 @@
         yield Row("list", f"changes of an entry ({of})", CPU, "gateway change", size, changes, guessed=True)
         yield Row("list", f"a whole list ({of})", CPU, "gateway whole list", size, start, guessed=guessed)
         yield Row("list", f"a start ({of})", CPU, "gateway start CPU", size, start, guessed=guessed)
-        yield Row("list", f"a whole list from discovery ({of})", BYTES, "discovery list", size, start,
-                  guessed=guessed)
+        yield Row(
+            "list",
+            f"a whole list from discovery ({of})",
+            BYTES,
+            "discovery list",
+            size,
+            start,
+            guessed=guessed,
+        )
 
 
 def rules(targets):
@@ -160,10 +177,23 @@
         _, changes = happens(targets, share)
         loads = {**changes, RESTART: 1.0}
         yield Row("rules", f"routes ({of})", MEMORY, "rules memory", targets.routes * share, guessed=guessed)
-        yield Row("rules", f"loaded whole for each change ({of})", CPU, "rules load", targets.routes * share,
-                  loads, guessed=guessed)
-        yield Row("rules", f"tenants that it heard of ({of})", MEMORY, "tenants memory",
-                  targets.tenants * share, guessed=guessed)
+        yield Row(
+            "rules",
+            f"loaded whole for each change ({of})",
+            CPU,
+            "rules load",
+            targets.routes * share,
+            loads,
+            guessed=guessed,
+        )
+        yield Row(
+            "rules",
+            f"tenants that it heard of ({of})",
+            MEMORY,
+            "tenants memory",
+            targets.tenants * share,
+            guessed=guessed,
+        )
     busy = dict.fromkeys(CONDITIONS, targets.requests)
     what = "judging requests (all services)"
     yield Row("rules", what, CPU, "rules judgement", targets.routes, busy, steady=True)
@@ -175,11 +205,19 @@
     changes, _ = happens(targets)
     start = {RESTART: 1.0}
     yield Row("following", "words on all nodes", MEMORY, "following memory", targets.instances)
-    yield Row("following", "changes of a node", CPU, "following change", targets.instances, changes,
-              guessed=True)
+    yield Row(
+        "following", "changes of a node", CPU, "following change", targets.instances, changes, guessed=True
+    )
     yield Row("following", "the whole state", CPU, "following whole", targets.instances, start)
-    yield Row("following", "changes of a node, in", BYTES, "leader change bytes", each=True, times=changes,
-              guessed=True)
+    yield Row(
+        "following",
+        "changes of a node, in",
+        BYTES,
+        "leader change bytes",
+        each=True,
+        times=changes,
+        guessed=True,
+    )
     yield messages("following", "changes of a node, in; calls for more, out", changes, guessed=True)
     yield Row("following", "the whole state, in", BYTES, "following whole bytes", targets.instances, start)
 
@@ -190,17 +228,39 @@
         records, changes = targets.records * share, joined(*happens(targets, share))
         start = {RESTART: 1.0}
         yield Row("distribution", f"records ({of})", MEMORY, "subscriber memory", records, guessed=guessed)
-        yield Row("distribution", f"changes ({of})", CPU, "subscriber changes", each=True, times=changes,
-                  guessed=True)
-        yield Row("distribution", f"snapshots ({of})", CPU, "subscriber snapshot CPU", records, start,
-                  guessed=guessed)
-        yield Row("distribution", f"changes, in ({of})", BYTES, "subscriber changes bytes", each=True,
-                  times=changes, guessed=True)
+        yield Row(
+            "distribution",
+            f"changes ({of})",
+            CPU,
+            "subscriber changes",
+            each=True,
+            times=changes,
+            guessed=True,
+        )
+        yield Row(
+            "distribution",
+            f"snapshots ({of})",
+            CPU,
+            "subscriber snapshot CPU",
+            records,
+            start,
+            guessed=guessed,
+        )
+        yield Row(
+            "distribution",
+            f"changes, in ({of})",
+            BYTES,
+            "subscriber changes bytes",
+            each=True,
+            times=changes,
+            guessed=True,
+        )
         yield messages("distribution", f"changes, in, a line each at most ({of})", changes, guessed=True)
         what = f"acknowledgements, out, as many at most ({of})"
         yield messages("distribution", what, changes, guessed=True)
-        yield Row("distribution", f"snapshots, in ({of})", BYTES, "relay snapshot", records, start,
-                  guessed=guessed)
+        yield Row(
+            "distribution", f"snapshots, in ({of})", BYTES, "relay snapshot", records, start, guessed=guessed
+        )
 
 
 def leader(targets):
@@ -210,20 +270,48 @@
     yield Row("leader", "nodes", MEMORY, "leader nodes memory", targets.instances)
     what = "gateways that wait (today)"
     yield Row("leader", what, CPU, "leader idle", targets.gateways, idle, steady=True)
-    yield Row("leader", "changes told to all gateways over HTTP (today)", CPU, "leader told over HTTP",
-              targets.gateways, changes, guessed=True)
-    yield Row("leader", "changes told to all gateways, deciding alone (today)", CPU, "leader change",
-              targets.gateways, changes, guessed=True)
-    yield Row("leader", "changes told to all gateways, out (today)", BYTES, "leader change bytes",
-              targets.gateways, changes, guessed=True)
+    yield Row(
+        "leader",
+        "changes told to all gateways over HTTP (today)",
+        CPU,
+        "leader told over HTTP",
+        targets.gateways,
+        changes,
+        guessed=True,
+    )
+    yield Row(
+        "leader",
+        "changes told to all gateways, deciding alone (today)",
+        CPU,
+        "leader change",
+        targets.gateways,
+        changes,
+        guessed=True,
+    )
+    yield Row(
+        "leader",
+        "changes told to all gateways, out (today)",
+        BYTES,
+        "leader change bytes",
+        targets.gateways,
+        changes,
+        guessed=True,
+    )
     what = "changes told to all gateways, out; calls for more, in (today)"
     yield messages("leader", what, times(changes, targets.gateways), guessed=True)
     what = "changes told to relays, out; calls for more, in (design)"
     yield messages("leader", what, times(changes, targets.control.machines), guessed=True)
     what = "relays that wait (design)"
     yield Row("leader", what, CPU, "leader idle", targets.control.machines, idle, steady=True)
-    yield Row("leader", "changes told to relays over HTTP (design)", CPU, "leader told over HTTP",
-              targets.control.machines, changes, guessed=True)
+    yield Row(
+        "leader",
+        "changes told to relays over HTTP (design)",
+        CPU,
+        "leader told over HTTP",
+        targets.control.machines,
+        changes,
+        guessed=True,
+    )
     yield Row("leader", "commands", CPU, "leader commands", each=True, times=changes, guessed=True)
 
 
@@ -236,8 +324,9 @@
     what = "entries, in, a message each at most; acknowledgements, out"
     yield messages("follower", what, changes, guessed=True)
     yield Row("follower", "snapshots", CPU, "member snapshot CPU", targets.records, snapshots, guessed=True)
-    yield Row("follower", "snapshots, to disk", BYTES, "member snapshot", targets.records, snapshots,
-              guessed=True)
+    yield Row(
+        "follower", "snapshots, to disk", BYTES, "member snapshot", targets.records, snapshots, guessed=True
+    )
 
 
 def relay(targets):
@@ -250,7 +339,9 @@
         of, told = whose(share), subscribers * share
         records = targets.records * share
         starts = {
-            CALM: targets.gateway_starts / targets.machines_left, ZONE: 0.0, RESTART: subscribers,
+            CALM: targets.gateway_starts / targets.machines_left,
+            ZONE: 0.0,
+            RESTART: subscribers,
         }
         what = f"changes told, deciding alone ({of})"
         yield Row("relay", what, CPU, "relay change", told, changes, guessed=True)
@@ -267,12 +358,26 @@
 def discovery(targets):
     changes, _ = happens(targets)
     starts = {CALM: targets.gateway_starts, RESTART: targets.gateways}
-    yield Row("discovery", "whole lists to gateways that start, out (today)", BYTES, "discovery list",
-              targets.instances, starts)
-    yield messages("discovery", "changes to all gateways, out (today)", times(changes, targets.gateways),
-                   guessed=True)
-    yield Row("discovery", "changes to all gateways, out (today)", BYTES, "discovery list", each=True,
-              times=times(changes, targets.gateways), guessed=True)
+    yield Row(
+        "discovery",
+        "whole lists to gateways that start, out (today)",
+        BYTES,
+        "discovery list",
+        targets.instances,
+        starts,
+    )
+    yield messages(
+        "discovery", "changes to all gateways, out (today)", times(changes, targets.gateways), guessed=True
+    )
+    yield Row(
+        "discovery",
+        "changes to all gateways, out (today)",
+        BYTES,
+        "discovery list",
+        each=True,
+        times=times(changes, targets.gateways),
+        guessed=True,
+    )
 
 
 def total(slopes, several, condition):
--- a/lemonlead/planning/steady.py
+++ b/lemonlead/planning/steady.py
@@ -32,8 +32,7 @@
 def reckon(fleet, pooled=False, flooded=False):
     """The fleet under its load, as it is or after a flood."""
     stations = [
-        (1 if pooled else count, kind, kind.cores * (count if pooled else 1))
-        for kind, count in merged(fleet)
+        (1 if pooled else count, kind, kind.cores * (count if pooled else 1)) for kind, count in merged(fleet)
     ]
     capacity = sum(times * servers * kind.speed for times, kind, servers in stations) or 1e-9
     first = {name: fleet.rate(name) for name in fleet.request_classes}
@@ -95,7 +94,8 @@
     for name in first:
         got, missed = answered[name]["goal"], 1 - answered[name]["stop"]
         request_classes[name] = (
-            got + missed * got if fleet.retries and fleet.request_classes[name].effect != at.NON_IDEMPOTENT
+            got + missed * got
+            if fleet.retries and fleet.request_classes[name].effect != at.NON_IDEMPOTENT
             else got
         )
         request_classes[name] = min(request_classes[name], 1.0)
--- a/lemonlead/planning/targets.py
+++ b/lemonlead/planning/targets.py
@@ -121,6 +121,10 @@
         fault("guesses.lost_machines", told["guesses"]["lost_machines"], "less than control.machines")
     if faults:
         raise settings.Unfit(faults)
-    return Targets(**{
-        **told, "control": Control(**told["control"]), "guesses": Guesses(**told["guesses"]),
-    })
+    return Targets(
+        **{
+            **told,
+            "control": Control(**told["control"]),
+            "guesses": Guesses(**told["guesses"]),
+        }
+    )
--- a/lemonlead/planning/wanted.py
+++ b/lemonlead/planning/wanted.py
@@ -92,11 +92,18 @@
         verdict = otherwise
         if full:
             verdict = MET if limit is None or max(full) <= limit else NOT_MET
-        self.rows.append({
-            "figure": name, "wanted": wanted, "one machine of today": today,
-            "the design at that size": design, "by slope": by, "mechanism": mechanism,
-            "run that shows it": "; ".join(map(shown, runs)) or run, "verdict": verdict,
-        })
+        self.rows.append(
+            {
+                "figure": name,
+                "wanted": wanted,
+                "one machine of today": today,
+                "the design at that size": design,
+                "by slope": by,
+                "mechanism": mechanism,
+                "run that shows it": "; ".join(map(shown, runs)) or run,
+                "verdict": verdict,
+            }
+        )
 
 
 def shown(run):
@@ -115,34 +122,42 @@
 
 def fleet(it, t):
     it.row(
-        "gateways", f"{t.gateways:,}",
+        "gateways",
+        f"{t.gateways:,}",
         f"{MOST_FOLLOWERS:,} follow a ledger at most (a bound of its state); the leader spends "
         f"{it.cost('leader told over HTTP', MOST_FOLLOWERS)} on a change told to as many",
         f"{number(t.subscribers)} at each of {t.machines_left} machines: "
-        f"{it.cost('relay subscribers memory', t.subscribers)} there", "relay subscribers memory",
+        f"{it.cost('relay subscribers memory', t.subscribers)} there",
+        "relay subscribers memory",
         "relays between members and gateways",
         otherwise=NOT_TODAY if t.gateways > MOST_FOLLOWERS else NOT_KNOWN,
     )
     few = t.instances * t.share
     it.row(
-        "instances", f"{t.instances:,}",
+        "instances",
+        f"{t.instances:,}",
         f"a gateway that knows all: {it.cost('gateway memory', t.instances)}; a change of one "
         f"{it.cost('gateway change', t.instances)}, a start {it.cost('gateway start CPU', t.instances)} "
         "of a core",
         f"a gateway that knows {number(few)}: {it.cost('gateway memory', few)}; a change "
         f"{it.cost('gateway change', few)}, a start {it.cost('gateway start CPU', few)}",
-        "gateway memory, change, start CPU", "scoped state; a list that costs what changes",
+        "gateway memory, change, start CPU",
+        "scoped state; a list that costs what changes",
     )
 
 
 def services(it, t):
     few = t.records * t.share
     it.row(
-        "services", f"{t.services:,}", "a gateway knows one list and no services",
+        "services",
+        f"{t.services:,}",
+        "a gateway knows one list and no services",
         f"{t.guesses.services_a_gateway} a gateway (a guess): {number(few)} records, "
         f"{it.cost('subscriber memory', few)}; all: {number(t.records)}, "
         f"{it.cost('subscriber memory', t.records)}",
-        "subscriber memory", "scopes that a gateway names", otherwise=NOT_TODAY,
+        "subscriber memory",
+        "scopes that a gateway names",
+        otherwise=NOT_TODAY,
     )
 
 
@@ -151,30 +166,37 @@
     busy = NONE if cost is None else share(cost / 1e3 * t.requests)
     few = it.figure("gateway request", t.instances * t.share)
     it.row(
-        "requests a second", f"{number(t.requests_a_second)}: {number(t.requests)} a gateway",
+        "requests a second",
+        f"{number(t.requests_a_second)}: {number(t.requests)} a gateway",
         f"a request takes {it.cost('gateway request', t.instances)} of a core where all instances are known: "
         f"{busy} of a core",
         f"where its services' are: {NONE if few is None else share(few / 1e3 * t.requests)} of a core",
-        "gateway request", "each gateway by itself, as today",
+        "gateway request",
+        "each gateway by itself, as today",
     )
     few = t.routes * t.share
     it.row(
-        "routes", f"{t.routes:,}",
+        "routes",
+        f"{t.routes:,}",
         f"loaded whole in {it.cost('rules load', t.routes)} of a core, {it.cost('rules memory', t.routes)}; "
         f"a judgement {it.cost('rules judgement', t.routes)}",
         f"{number(few)} of its services: loaded whole in {it.cost('rules load', few)}, "
-        f"{it.cost('rules memory', few)}", "rules load, memory", "scoped state; rules are loaded whole still",
+        f"{it.cost('rules memory', few)}",
+        "rules load, memory",
+        "scoped state; rules are loaded whole still",
     )
     few = t.tenants * t.share
     it.row(
-        "tenants", f"{t.tenants:,}",
+        "tenants",
+        f"{t.tenants:,}",
         f"a gateway that heard of all: {it.cost('tenants memory', t.tenants)}, and each look at a request of "
         f"one that alone waits {it.cost('tenants waiting request', t.tenants)} of a core; a part of the "
         f"ledger holds {MOST:,}",
         f"{number(few)} of its services: {it.cost('tenants memory', few)}, "
-        f"{it.cost('tenants waiting request', few)}", "tenants memory, waiting request",
-        "scoped state; a part of the ledger that holds "
-        "more", otherwise=NOT_TODAY if t.tenants > MOST else NOT_KNOWN,
+        f"{it.cost('tenants waiting request', few)}",
+        "tenants memory, waiting request",
+        "scoped state; a part of the ledger that holds more",
+        otherwise=NOT_TODAY if t.tenants > MOST else NOT_KNOWN,
     )
 
 
@@ -185,7 +207,8 @@
     told = "; ".join(
         f"{number(one.gateway - one.relay)} ms at {number(one.rate)} a second ({number(one.gateway)} beside "
         f"{number(one.relay)} at a bare relay; in the median {number(one.gateway_median)} beside "
-        f"{number(one.relay_median)})" for one in found
+        f"{number(one.relay_median)})"
+        for one in found
     )
     verdict, run = NOT_KNOWN, NO_RUN
     if found:
@@ -196,17 +219,24 @@
         else:
             verdict = MET if nearest.gateway - nearest.relay <= limit else NOT_MET
     it.row(
-        "added to a request", f"{number(limit)} ms for {share(t.added_share)}", told or NONE,
-        "as today: a gateway decides alone", "none: measured at a gateway's rate",
-        "a choice that knows which connections have rested", otherwise=verdict, run=run,
+        "added to a request",
+        f"{number(limit)} ms for {share(t.added_share)}",
+        told or NONE,
+        "as today: a gateway decides alone",
+        "none: measured at a gateway's rate",
+        "a choice that knows which connections have rested",
+        otherwise=verdict,
+        run=run,
     )
 
 
 def regions(it, t):
     it.row(
-        "regions and zones", f"{t.regions} and {t.zones}", "not played at that size",
-        f"{number(t.zone_instances)} instances and {number(t.zone_gateways)} gateways a zone", "division "
-        "alone",
+        "regions and zones",
+        f"{t.regions} and {t.zones}",
+        "not played at that size",
+        f"{number(t.zone_instances)} instances and {number(t.zone_gateways)} gateways a zone",
+        "division alone",
         "relays in each region; a gateway goes to another's when its own is gone",
     )
 
@@ -221,8 +251,11 @@
         f"{busy} of a "
         "core",
         f"told in {it.takes(1)} of a gateway's bytes; rules of its services loaded in "
-        f"{it.cost('rules load', t.routes * t.share)}", "subscriber changes bytes, rules load",
-        "incremental, paced, acknowledged", limit=t.in_force / S, otherwise=NOT_TODAY,
+        f"{it.cost('rules load', t.routes * t.share)}",
+        "subscriber changes bytes, rules load",
+        "incremental, paced, acknowledged",
+        limit=t.in_force / S,
+        otherwise=NOT_TODAY,
     )
 
 
@@ -242,9 +275,13 @@
     worth, most = it.sum(of, CPU), t.control.core
     today = f"rules loaded whole for each change: {it.cost('rules load', t.routes)} each"
     it.row(
-        f"control's processor time, {of}", f"{share(most)} of a core a gateway",
-        today if of == whose(1.0) else SEE, f"{said(CPU, worth)} of a core in calm", PARTS,
-        "scoped, incremental", limit=100 * most,
+        f"control's processor time, {of}",
+        f"{share(most)} of a core a gateway",
+        today if of == whose(1.0) else SEE,
+        f"{said(CPU, worth)} of a core in calm",
+        PARTS,
+        "scoped, incremental",
+        limit=100 * most,
         otherwise=NOT_MET if worth is not None and worth.figure > most else NOT_KNOWN,
     )
 
@@ -256,9 +293,14 @@
         f"{it.cost('rules memory', t.routes)}, tenants {it.cost('tenants memory', t.tenants)}"
     )
     it.row(
-        f"control's memory, {of}", f"{number(most)} MB a gateway", today if of == whose(1.0) else SEE,
-        NONE if found is None else f"{number(found)} MB above a gateway at rest", PARTS, "scoped",
-        limit=most, otherwise=NOT_MET if found is not None and found > most else NOT_KNOWN,
+        f"control's memory, {of}",
+        f"{number(most)} MB a gateway",
+        today if of == whose(1.0) else SEE,
+        NONE if found is None else f"{number(found)} MB above a gateway at rest",
+        PARTS,
+        "scoped",
+        limit=most,
+        otherwise=NOT_MET if found is not None and found > most else NOT_KNOWN,
     )
 
 
@@ -267,32 +309,40 @@
     takes = NONE if start is None else seconds(start.figure / most)
     today = f"a whole list has {it.cost('discovery list', t.instances)}"
     it.row(
-        f"control's bytes, {of}", f"{size(most)}/s a gateway", today if of == whose(1.0) else SEE,
+        f"control's bytes, {of}",
+        f"{size(most)}/s a gateway",
+        today if of == whose(1.0) else SEE,
         f"{said(BYTES, calm)} in calm; what a start asks for takes {takes} at that rate",
-        "subscriber changes bytes, relay snapshot", "scoped, paced", limit=most,
+        "subscriber changes bytes, relay snapshot",
+        "scoped, paced",
+        limit=most,
         otherwise=NOT_MET if calm is not None and calm.figure > most else NOT_KNOWN,
     )
 
 
 def control_machines(it, t):
     it.row(
-        "control machines", f"{t.control.machines}, of which {t.guesses.lost_machines} may be lost (a guess)",
+        "control machines",
+        f"{t.control.machines}, of which {t.guesses.lost_machines} may be lost (a guess)",
         f"a leader that tells all gateways itself: {it.cost('leader told over HTTP', t.gateways)} of a "
         f"core a change",
         f"a relay holds {it.cost('relay memory', t.records)} and tells a change to those that route to its "
         f"service "
-        f"in {it.cost('relay change', t.subscribers * t.share)}, without HTTP", "relay memory, relay change",
+        f"in {it.cost('relay change', t.subscribers * t.share)}, without HTTP",
+        "relay memory, relay change",
         "members hold the log, relays tell it",
     )
 
 
 def machines(it, t):
     it.row(
-        "failures and restarts", f"{number(t.failures_a_day)} and {number(t.restarts_a_day)} a day",
+        "failures and restarts",
+        f"{number(t.failures_a_day)} and {number(t.restarts_a_day)} a day",
         f"{number(t.instance_changes)} changes a second, each {it.cost('gateway change', t.instances)} at "
         f"a gateway "
         "that knows all",
-        f"{number(t.instance_changes * t.share)} a second reach a gateway", "gateway change",
+        f"{number(t.instance_changes * t.share)} a second reach a gateway",
+        "gateway change",
         "scoped; later news take the place of earlier",
     )
 
@@ -304,22 +354,25 @@
         ("a zone", t.zone_instances, f"{number(t.zones_a_month)} a month", ""),
     ):
         it.row(
-            name, wanted_of,
+            name,
+            wanted_of,
             f"{number(count)} changes{guess}: {NONE if each is None else seconds(count * each / 1e3)} of a "
             f"core at a "
             "gateway that knows all",
             f"{number(count * t.share)} reach a gateway in the mean, in {it.takes(count * t.share)} at its "
             f"bytes; "
-            f"one that routes to all services: {it.takes(count)}", "gateway change, subscriber changes bytes",
+            f"one that routes to all services: {it.takes(count)}",
+            "gateway change, subscriber changes bytes",
             "drains and removals go first, within the budget",
         )
     cut = t.guesses.cut / S
     missed = (t.instance_changes + t.configurations) * cut
     it.row(
-        "a region cut off", f"for minutes ({number(t.guesses.cuts_a_year)} a year of {number(cut)} s are "
-        f"guesses)",
+        "a region cut off",
+        f"for minutes ({number(t.guesses.cuts_a_year)} a year of {number(cut)} s are guesses)",
         "serves on from what it has and is told all that it missed (`docs/cluster.md`)",
         f"{number(missed)} changes missed, {number(missed * t.share)} of a gateway's services: "
-        f"{it.takes(missed * t.share)} at its bytes", "subscriber changes bytes",
+        f"{it.takes(missed * t.share)} at its bytes",
+        "subscriber changes bytes",
         "versions of each scope: it resumes from the one that it has",
     )
--- a/lemonlead/planning/world.py
+++ b/lemonlead/planning/world.py
@@ -113,8 +113,12 @@
         if end == at.SUCCEEDED and request in self.wants:
             self.answer(request, "succeeded", 0)
         self.tell(
-            self.balancer.attempt_ended, attempt, end, self.world.now - attempt.at, request not in self.wants,
-            {}
+            self.balancer.attempt_ended,
+            attempt,
+            end,
+            self.world.now - attempt.at,
+            request not in self.wants,
+            {},
         )
 
     def answer(self, request, ending, retry_after):
@@ -146,8 +150,12 @@
         self.kinds = {name: number for number, name in enumerate(fleet.kinds)}
         self.request_classes = {
             name: at.RequestClass(
-                number, request_class.effect, request_class.goal, request_class.stop, request_class.revenue,
-                memory=request_class.memory
+                number,
+                request_class.effect,
+                request_class.goal,
+                request_class.stop,
+                request_class.revenue,
+                memory=request_class.memory,
             )
             for number, (name, request_class) in enumerate(fleet.request_classes.items())
         }
@@ -242,7 +250,8 @@
             return
         self.at(self.now + gap, self.arrive, site, name, rate, end)
         request_class, spread = (
-            self.fleet.request_classes[name], math.sqrt(math.log1p(self.fleet.request_classes[name].cv ** 2))
+            self.fleet.request_classes[name],
+            math.sqrt(math.log1p(self.fleet.request_classes[name].cv ** 2)),
         )
         work = round(request_class.work * self.random.lognormvariate(-spread * spread / 2, spread)) + 1
         second = self.seconds[self.now // S]
--- a/lemonlead/standins/clients.py
+++ b/lemonlead/standins/clients.py
@@ -24,7 +24,10 @@
     def ask(self, key=b"aa", request_class="look", wait=20000, body=(), **more):
         """Writes a request."""
         said = {
-            "c": request_class, "t": "acme", "d": wait, **({"k": "5c"} if request_class == "hold" else {}),
+            "c": request_class,
+            "t": "acme",
+            "d": wait,
+            **({"k": "5c"} if request_class == "hold" else {}),
             **more,
         }
         extras = ",".join(f"{name}={value}" for name, value in said.items()).encode()
--- a/lemonlead/standins/distributed/checks.py
+++ b/lemonlead/standins/distributed/checks.py
@@ -222,9 +222,7 @@
             if record is None or record.get("state") == "draining":
                 fresh.append((index, now, scope, key))
         self.at = log.told
-        fit = {
-            relay.name: (relay.life, relay.jumped) for relay in play.relays if self.follows(relay)
-        }
+        fit = {relay.name: (relay.life, relay.jumped) for relay in play.relays if self.follows(relay)}
         for gateway in play.gateways:
             if not gateway.up or gateway.cluster not in ("", log.cluster):
                 continue
--- a/lemonlead/standins/distributed/schedules.py
+++ b/lemonlead/standins/distributed/schedules.py
@@ -238,9 +238,7 @@
 
     def befall(self, trouble):
         self.world.count(f"trouble: {trouble.kind}")
-        relays = sorted(
-            self.relays, key=lambda relay: (-len(relay.streams) if relay.up else 0, relay.name)
-        )
+        relays = sorted(self.relays, key=lambda relay: (-len(relay.streams) if relay.up else 0, relay.name))
         getattr(self, trouble.kind)(relays[trouble.whom % len(relays)], trouble)
 
     def later(self, trouble, function, *args):
--- a/lemonlead/standins/fleet.py
+++ b/lemonlead/standins/fleet.py
@@ -74,8 +74,18 @@
 
 @contextlib.contextmanager
 def gateway(
-    tmp_path, *servers, settings=None, limits=None, entries=None, rules=None, extra=None, source=None,
-    follow=None, program=None, serves=True, listen="127.0.0.1:0",
+    tmp_path,
+    *servers,
+    settings=None,
+    limits=None,
+    entries=None,
+    rules=None,
+    extra=None,
+    source=None,
+    follow=None,
+    program=None,
+    serves=True,
+    listen="127.0.0.1:0",
 ):
     """A gateway that runs among these instances; all of it ends with the block. `rules`: the text of a set of
     rules to switch on, `extra` further settings of rules, as `{"shadow": text, "shadow_share": share}`.
--- a/lemonlead/standins/instances.py
+++ b/lemonlead/standins/instances.py
@@ -89,7 +89,8 @@
                 if idempotency_key:
                     self.idempotency_keys = {
                         k: v
-                        for k, v in self.idempotency_keys.items() if time.monotonic() - v[0] < self.memory
+                        for k, v in self.idempotency_keys.items()
+                        if time.monotonic() - v[0] < self.memory
                     }
                     self.idempotency_keys[idempotency_key] = time.monotonic(), value
                 if self.chance.random() < self.spoilt:
--- a/lemonlead/standins/move_checks.py
+++ b/lemonlead/standins/move_checks.py
@@ -54,8 +54,10 @@
         at = f"{cluster} {index}"
         touched = {part for part, _, _ in changes}
         if touched & {"reservations", "gangs"}:
-            added = any(part in ("reservations", "gangs") and record is not None
-                        and before[part, key] is None for part, key, record in changes)
+            added = any(
+                part in ("reservations", "gangs") and record is not None and before[part, key] is None
+                for part, key, record in changes
+            )
             if added:
                 self.capacity(at, cluster)
         for part, key, record in changes:
@@ -67,8 +69,11 @@
             if part == "reservations" and record is None:
                 self.freed(at, cluster, key, before[part, key])
         if touched & {"moves", "holds", "reservations", "groups", "nodes"}:
-            failing = any(part == "nodes" and record["state"] in ("failed", "catching_up")
-                          for part, _, record in changes if record)
+            failing = any(
+                part == "nodes" and record["state"] in ("failed", "catching_up")
+                for part, _, record in changes
+                if record
+            )
             for name in self.kept:
                 for move, record in self.part(name, "moves").items():
                     self.both_sides(at, name, move, record, "groups" in touched and not failing)
--- a/lemonlead/standins/move_faults.py
+++ b/lemonlead/standins/move_faults.py
@@ -6,8 +6,16 @@
 
 # A step of the source's record and the stage, where it has one.
 STEPS = [
-    ("asked", None), ("reserving", None), ("warming", None), ("members", None), ("shifting", 0),
-    ("shifting", 2), ("shifting", 4), ("settling", None), ("going back", None), ("dropping", None),
+    ("asked", None),
+    ("reserving", None),
+    ("warming", None),
+    ("members", None),
+    ("shifting", 0),
+    ("shifting", 2),
+    ("shifting", 4),
+    ("settling", None),
+    ("going back", None),
+    ("dropping", None),
 ]
 NAMES = [f"{step}{'' if stage is None else stage}" for step, stage in STEPS]
 
@@ -49,9 +57,7 @@
 def fail_node(world, cluster):
     side = world.sides[cluster]
     side.do(capacity.Report(node=f"{cluster}-1", state="failed"))
-    world.at(world.now + 20 * SECOND, lambda: side.do(
-        capacity.Report(node=f"{cluster}-1", state="serving")
-    ))
+    world.at(world.now + 20 * SECOND, lambda: side.do(capacity.Report(node=f"{cluster}-1", state="serving")))
 
 
 def change_again(world, cluster):
--- a/lemonlead/standins/simulated/hosts.py
+++ b/lemonlead/standins/simulated/hosts.py
@@ -65,7 +65,10 @@
     ):
         self.world, self.id, self.ledger, self.judges = world, id, ledger, list(judges)
         self.duties, self.make_dispatcher, self.make_disk, self.told = (
-            duties, make_dispatcher, make_disk, told
+            duties,
+            make_dispatcher,
+            make_disk,
+            told,
         )
         self.snapshot_every = snapshot_every
         self.watching = {}  # what judges are told: the functions of those that want it
--- a/lemonlead/standins/simulated/nodes.py
+++ b/lemonlead/standins/simulated/nodes.py
@@ -83,9 +83,7 @@
 
     def up(self):
         self.state = CATCHING_UP
-        self.report(
-            "catching_up", lambda: self.world.after(self.chance.randint(50, 600) * MS, self.serve)
-        )
+        self.report("catching_up", lambda: self.world.after(self.chance.randint(50, 600) * MS, self.serve))
 
     def serve(self):
         self.state = SERVING
--- a/lemonlead/standins/simulated/schedules.py
+++ b/lemonlead/standins/simulated/schedules.py
@@ -111,8 +111,13 @@
         names = [f"g{number + 1}" for number in range(schedule.members)]
         self.judges = all_judges(ledger)
         self.cluster = Cluster(
-            self.world, "c", names, ledger, self.judges, make_dispatcher=make_dispatcher,
-            **{"told": short, **more}
+            self.world,
+            "c",
+            names,
+            ledger,
+            self.judges,
+            make_dispatcher=make_dispatcher,
+            **{"told": short, **more},
         )
         self.operator = Operator(self.cluster, schedule.seed)
         until = (SPAN + HEALS) * MS
--- a/lemonlead/standins/simulated/whole_checks.py
+++ b/lemonlead/standins/simulated/whole_checks.py
@@ -90,9 +90,7 @@
     def formed(self, cluster, state, base):
         terms = state.terms
         self.state, self.term, self.answers, self.waits = state, state.term, {}, []
-        self.drains = drain_checks.Watch(
-            terms.lease, terms.grace * RATES, terms.cold_share, terms.site_share
-        )
+        self.drains = drain_checks.Watch(terms.lease, terms.grace * RATES, terms.cold_share, terms.site_share)
         self.between.entries[cluster.id] = self
 
     def polled(self, gateway, host, after):
@@ -112,9 +110,7 @@
             self.answers.setdefault(about["id"], (applied.code, applied.body))
         changes = applied.changes if applied.code == 200 and not applied.repeat else {}
         kind = about.get("kind", "")
-        found = self.drains.entry(
-            now, entry.index, entry.term, self.state.moment, changes, kind, about
-        )
+        found = self.drains.entry(now, entry.index, entry.term, self.state.moment, changes, kind, about)
         rows = [(part, key, msgspec.to_builtins(row)) for (part, key), row in changes.items()]
         between.moves.saw(self.cluster.id, entry.index, rows)
         found += between.moves.broken[:1]
--- a/lemonlead/told.py
+++ b/lemonlead/told.py
@@ -110,25 +110,37 @@
     # For the others, group and memory mean nothing; without a window repeats are told apart for no time.
     deduplicated = effect == at.DEDUPLICATED
     return at.RequestClass(
-        number=number, effect=effect, latency_objective=told.time("Slo"), deadline=told.time("GiveUp"),
-        revenue=told.number("Worth", 1.0), late_share=told.number("LateWorth", 0.0),
+        number=number,
+        effect=effect,
+        latency_objective=told.time("Slo"),
+        deadline=told.time("GiveUp"),
+        revenue=told.number("Worth", 1.0),
+        late_share=told.number("LateWorth", 0.0),
         objective_stretch=told.number("AimStretch", 0.0),
         group=told.one_of("Group", ("all", "zone", "cell"), "all") if deduplicated else "all",
-        memory=told.time("Window") if deduplicated else 0, streamed=told.flag("Stream"),
+        memory=told.time("Window") if deduplicated else 0,
+        streamed=told.flag("Stream"),
     )
 
 
 def release_of(told):
     return at.Release(
         control=told.one_of("Control", ("first_voice", "by_count", "automatic"), "by_count"),
-        on_needed=told.count("AyesNeeded", 1), back_needed=told.count("NoesNeeded", 1),
-        bake=told.time("Bake"), vote_life=told.time("BallotTtl"), answer_time=told.time("ApiTimeout"),
-        votes_per_s=told.number("VoteAllowance", 0.0), window=told.time("ExposureWindow"),
+        on_needed=told.count("AyesNeeded", 1),
+        back_needed=told.count("NoesNeeded", 1),
+        bake=told.time("Bake"),
+        vote_life=told.time("BallotTtl"),
+        answer_time=told.time("ApiTimeout"),
+        votes_per_s=told.number("VoteAllowance", 0.0),
+        window=told.time("ExposureWindow"),
         free_attempts=told.number("SpareTries", 0.0),
         per_class=told.one_of("CapScope", ("all", "each_class"), "all") == "each_class",
-        guarded_stages=told.count("GuardedStages", 0), forward_only=told.flag("ForwardOnly"),
-        caps=told.numbers("StageCap", 1), steps=told.numbers("Steps"),
-        old_price=told.number("StaleBuildPrice", 0.0), harm_price=told.number("HarmFee", 0.0),
+        guarded_stages=told.count("GuardedStages", 0),
+        forward_only=told.flag("ForwardOnly"),
+        caps=told.numbers("StageCap", 1),
+        steps=told.numbers("Steps"),
+        old_price=told.number("StaleBuildPrice", 0.0),
+        harm_price=told.number("HarmFee", 0.0),
         replaces=told.one_of("Style", ("parallel", "replace"), "parallel") == "replace",
     )
 
@@ -140,8 +152,12 @@
     limits, rules, prices = told.part("Limits"), told.part("Obligations"), told.part("Tariffs")
     retry_after = limits.time("MaxRetryAfter") if limits.flag("RetryAfter") else 0
     return at.Start(
-        now=now, seed=salt, me=told.count("Me", 0), balancers=told.count("Balancers", 1),
-        zone=told.count("Az", 0), step=told.time("Step"),
+        now=now,
+        seed=salt,
+        me=told.count("Me", 0),
+        balancers=told.count("Balancers", 1),
+        zone=told.count("Az", 0),
+        step=told.time("Step"),
         request_classes=[
             request_class_of(request_class, number)
             for number, request_class in enumerate(told.parts("Lanes"))
@@ -150,14 +166,20 @@
         tenant_shares=[tenant.number("QuotaPerS", 0.0) for tenant in told.parts("Projects")],
         over_share_worth=told.number("OverShareWorth", 1.0),
         ask_for_list=told.one_of("Discovery", ("push", "ask"), "push") == "ask",
-        attempts_cap=limits.count("AttemptsCap", 1, 1), may_cancel=limits.flag("Cancel"),
-        may_duplicate=limits.flag("MayDuplicate"), may_probe=limits.flag("Probes"),
-        retry_after_cap=retry_after, connect_time=limits.time("ConnectTimeout"),
+        attempts_cap=limits.count("AttemptsCap", 1, 1),
+        may_cancel=limits.flag("Cancel"),
+        may_duplicate=limits.flag("MayDuplicate"),
+        may_probe=limits.flag("Probes"),
+        retry_after_cap=retry_after,
+        connect_time=limits.time("ConnectTimeout"),
         idle_time=limits.time("IdleClose"),
-        ask_within=rules.time("AskWithin"), drain_grace=rules.time("DrainGrace"),
-        cold_time=rules.time("Cold"), cold_share=rules.number("ColdFrom", 1.0, 0, 1),
+        ask_within=rules.time("AskWithin"),
+        drain_grace=rules.time("DrainGrace"),
+        cold_time=rules.time("Cold"),
+        cold_share=rules.number("ColdFrom", 1.0, 0, 1),
         cold_multiple=rules.number("OverloadFactor", 1.0),
-        cold_window=rules.time("Fall"), report_fields=told.part("Report").names("Fields"),
+        cold_window=rules.time("Fall"),
+        report_fields=told.part("Report").names("Fields"),
         by_work=told.one_of("WorthBy", ("request", "work"), "request") == "work",
         prices={"CrossZone": prices.number("CrossZone", 0.0)},
     )
--- a/lemonlead/wirehost/host.py
+++ b/lemonlead/wirehost/host.py
@@ -9,11 +9,20 @@
 from .codec import ROW, BadFrame, Reply, cut
 
 _ENDS = {
-    200: at_door.SUCCEEDED, 500: at_door.ERRED, 503: at_door.REJECTED, 504: at_door.TIMED_OUT,
-    502: at_door.UNCONNECTED, 598: at_door.RESET, 499: at_door.CANCELLED, 410: at_door.NOT_SENT,
+    200: at_door.SUCCEEDED,
+    500: at_door.ERRED,
+    503: at_door.REJECTED,
+    504: at_door.TIMED_OUT,
+    502: at_door.UNCONNECTED,
+    598: at_door.RESET,
+    499: at_door.CANCELLED,
+    410: at_door.NOT_SENT,
 }
 _VOTES = {
-    200: at_door.COUNTED, 410: at_door.MOOT, 503: at_door.OVER_ALLOWANCE, 500: at_door.VOTE_ERRED,
+    200: at_door.COUNTED,
+    410: at_door.MOOT,
+    503: at_door.OVER_ALLOWANCE,
+    500: at_door.VOTE_ERRED,
     504: at_door.UNANSWERED,
 }
 _FULL_LISTS = (0, 4)
@@ -147,8 +156,14 @@
             raise BadFrame(f"gateway {seat.number}: a request of the unknown request class {request_class}")
         work = max(in_ns(hint), 0) if flags & 1 else 0
         request = at_door.Request(
-            id, seat.request_classes[request_class], tenant, key, self.now, self.now + in_ns(left), work,
-            bool(flags & 2)
+            id,
+            seat.request_classes[request_class],
+            tenant,
+            key,
+            self.now,
+            self.now + in_ns(left),
+            work,
+            bool(flags & 2),
         )
         seat.requests[id] = request
         seat.balancer.request_arrived(self.now, request)
--- a/tests/any_settings.py
+++ b/tests/any_settings.py
@@ -15,7 +15,14 @@
 STATES = {"up": at.READY, "draining": at.DRAINING, "removed": at.GONE}
 PHASES = (at.ON_TRIAL, at.GOING_BACK, at.RELEASED, at.TAKEN_OFF)
 ENDS = (
-    at.SUCCEEDED, at.ERRED, at.REJECTED, at.RESET, at.UNCONNECTED, at.SPOILT, at.UNFIT, "silent",
+    at.SUCCEEDED,
+    at.ERRED,
+    at.REJECTED,
+    at.RESET,
+    at.UNCONNECTED,
+    at.SPOILT,
+    at.UNFIT,
+    "silent",
 )  # of attempts; silent ones time out
 NEVER = {at.REJECTED, at.UNCONNECTED, at.NOT_SENT}
 MOST_DECISIONS, MOST_WAKES = 2000, 30_000  # at one moment; in all
@@ -97,9 +104,15 @@
         zones, kinds = max(len(self.settings.get("Areas", [])), 1), max(len(self.settings.get("Skus", [])), 1)
         age = 1 << 62 if old else 0
         return {
-            "id": f"i{number}", "zone": number % zones, "kind": number // 2 % kinds, "build": build,
-            "cell": number // 2, "state": "up", "started": 0 if age else self.now,
-            "bad": self.random.random() < self.world["bad"], "speed": self.random.uniform(0.5, 2.0),
+            "id": f"i{number}",
+            "zone": number % zones,
+            "kind": number // 2 % kinds,
+            "build": build,
+            "cell": number // 2,
+            "state": "up",
+            "started": 0 if age else self.now,
+            "bad": self.random.random() < self.world["bad"],
+            "speed": self.random.uniform(0.5, 2.0),
         }
 
     def list_told(self, whole, fresh, rows=None, stale=False):
@@ -220,9 +233,7 @@
         if row is None or row["bad"] and self.random.random() < 0.5:
             end = self.random.choice([at.UNCONNECTED, at.RESET, "silent", at.ERRED, at.REJECTED])
         else:
-            end = self.random.choices(
-                ENDS, [self.world["good"], 2, 3, 2, 2, 1, 0.5, 2]
-            )[0]
+            end = self.random.choices(ENDS, [self.world["good"], 2, 3, 2, 2, 1, 0.5, 2])[0]
         if end == at.UNCONNECTED:
             takes = self.random.choice([0, min(self.start.connect_time, time_out)])
         left = request.deadline - self.now if asked else time_out
@@ -285,9 +296,22 @@
 
 
 WORLD = {
-    "seed": 1, "machines": 4, "news": True, "requests": 60, "bursts": 0.3, "gap": 20.0, "changes": 10,
-    "apart": 0.5, "in_steps": False, "bad": 0.1, "good": 60, "slow": 0.1, "leave": 0.05, "connects": 0.0,
-    "unheard": 0.2, "hints": False,
+    "seed": 1,
+    "machines": 4,
+    "news": True,
+    "requests": 60,
+    "bursts": 0.3,
+    "gap": 20.0,
+    "changes": 10,
+    "apart": 0.5,
+    "in_steps": False,
+    "bad": 0.1,
+    "good": 60,
+    "slow": 0.1,
+    "leave": 0.05,
+    "connects": 0.0,
+    "unheard": 0.2,
+    "hints": False,
 }
 
 
@@ -337,9 +361,14 @@
 
     def taken(self, now, id, request_class, left, key, work):
         self.asked[id] = {
-            "lane": self.told["Lanes"][request_class], "n": request_class, "at": now, "until": now + left,
+            "lane": self.told["Lanes"][request_class],
+            "n": request_class,
+            "at": now,
+            "until": now + left,
             "key": key,
-            "attempts": [], "final": None, "work": work or 1,
+            "attempts": [],
+            "final": None,
+            "work": work or 1,
         }
         self.takes.append((now, request_class))
 
--- a/tests/days.py
+++ b/tests/days.py
@@ -112,9 +112,8 @@
     def mean_work(self):
         request_classes = self.fleet.request_classes.items()
         rates = {name: self.fleet.rate(name) for name, _ in request_classes}
-        return (
-            sum(rates[name] * request_class.work for name, request_class in request_classes)
-            / sum(rates.values())
+        return sum(rates[name] * request_class.work for name, request_class in request_classes) / sum(
+            rates.values()
         )
 
     # ---- gateways that die and come back
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -52,16 +52,31 @@
 
 def balancer(lines=(), request_classes=None, told=(1, 0, at.RELEASED, 1.0), release=None, **more):
     release = release or at.Release(
-        window=2000 * MS, free_attempts=2, caps=[0.1, 0.5, 1.0], steps=[0.1, 0.5, 1.0], vote_life=4000 * MS,
-        answer_time=800 * MS, votes_per_s=100.0, bake=1000 * MS,
+        window=2000 * MS,
+        free_attempts=2,
+        caps=[0.1, 0.5, 1.0],
+        steps=[0.1, 0.5, 1.0],
+        vote_life=4000 * MS,
+        answer_time=800 * MS,
+        votes_per_s=100.0,
+        bake=1000 * MS,
     )
     rules = dict(
-        step=5 * MS, attempts_cap=4, may_cancel=True, may_duplicate=True, connect_time=250 * MS,
-        cold_time=5000 * MS, cold_share=0.4, cold_window=2000 * MS, cold_multiple=3.0,
+        step=5 * MS,
+        attempts_cap=4,
+        may_cancel=True,
+        may_duplicate=True,
+        connect_time=250 * MS,
+        cold_time=5000 * MS,
+        cold_share=0.4,
+        cold_window=2000 * MS,
+        cold_multiple=3.0,
         retry_after_cap=500 * MS,
     )
     start = at.Start(
-        now=NOW, request_classes=request_classes or [request_class()], release=release,
+        now=NOW,
+        request_classes=request_classes or [request_class()],
+        release=release,
         **{"seed": 7, **rules, **more},
     )
     made = Balancer(start)
--- a/tests/test_any_settings.py
+++ b/tests/test_any_settings.py
@@ -26,15 +26,20 @@
 
 def lanes_of(names):
     request_class = {
-        "GiveUp": some.sampled_from([0, 1, 20, 150.0, 1000.0, 5000.0, 30_000.0, 1e13]), "Slo": TIMES,
-        "Effect": some.sampled_from(["idempotent", "deduplicated", "at_most_once"]), "Window": TIMES,
+        "GiveUp": some.sampled_from([0, 1, 20, 150.0, 1000.0, 5000.0, 30_000.0, 1e13]),
+        "Slo": TIMES,
+        "Effect": some.sampled_from(["idempotent", "deduplicated", "at_most_once"]),
+        "Window": TIMES,
     }
     more = {
-        "AimStretch": FIGURES, "LateWorth": SHARES, "Worth": FIGURES, "Stream": FLAGS,
+        "AimStretch": FIGURES,
+        "LateWorth": SHARES,
+        "Worth": FIGURES,
+        "Stream": FLAGS,
         "Group": some.sampled_from(["all", "zone", "cell"]),
     }
-    return (
-        some.tuples(*[some_of({**request_class, "Name": some.just(name)}, more) for name in names]).map(list)
+    return some.tuples(*[some_of({**request_class, "Name": some.just(name)}, more) for name in names]).map(
+        list
     )
 
 
@@ -45,48 +50,96 @@
 ANY = some_of(
     {
         "Lanes": some.one_of(named(3), named(40)).flatmap(lanes_of),
-        "Limits": some_of({}, {
-            "AttemptsCap": some.sampled_from([1, 2, 5, 1000]), "Cancel": FLAGS, "ConnectTimeout": TIMES,
-            "IdleClose": TIMES, "MaxRetryAfter": TIMES, "MayDuplicate": FLAGS, "Probes": FLAGS,
-            "RetryAfter": FLAGS,
-        }),
-        "Obligations": some_of({}, {
-            "AnswerSlack": some.just(20.0), "AskWithin": some.sampled_from([0, 50, 200, 1000, 1e4, 1e13]),
-            "Cold": TIMES, "ColdFrom": SHARES, "DrainGrace": TIMES, "Fall": TIMES,
-            "OverloadFactor": some.sampled_from([1, 1.0, 1.5, 4.0, 1e6]),
-        }),
+        "Limits": some_of(
+            {},
+            {
+                "AttemptsCap": some.sampled_from([1, 2, 5, 1000]),
+                "Cancel": FLAGS,
+                "ConnectTimeout": TIMES,
+                "IdleClose": TIMES,
+                "MaxRetryAfter": TIMES,
+                "MayDuplicate": FLAGS,
+                "Probes": FLAGS,
+                "RetryAfter": FLAGS,
+            },
+        ),
+        "Obligations": some_of(
+            {},
+            {
+                "AnswerSlack": some.just(20.0),
+                "AskWithin": some.sampled_from([0, 50, 200, 1000, 1e4, 1e13]),
+                "Cold": TIMES,
+                "ColdFrom": SHARES,
+                "DrainGrace": TIMES,
+                "Fall": TIMES,
+                "OverloadFactor": some.sampled_from([1, 1.0, 1.5, 4.0, 1e6]),
+            },
+        ),
     },
     {
-        "Areas": named(4), "Az": some.integers(0, 3), "Balancers": some.sampled_from([1, 2, 7, 40, 500]),
-        "Discovery": some.sampled_from(["ask", "push"]), "Me": some.integers(0, 499), "Skus": named(3),
-        "Step": some.sampled_from([0, 0.5, 5.0, 25]), "OverShareWorth": SHARES,
+        "Areas": named(4),
+        "Az": some.integers(0, 3),
+        "Balancers": some.sampled_from([1, 2, 7, 40, 500]),
+        "Discovery": some.sampled_from(["ask", "push"]),
+        "Me": some.integers(0, 499),
+        "Skus": named(3),
+        "Step": some.sampled_from([0, 0.5, 5.0, 25]),
+        "OverShareWorth": SHARES,
         "Projects": named(30).map(lambda names: [{"Name": name, "QuotaPerS": 1.0} for name in names]),
         "Report": some.sampled_from([{"Fields": []}, {"Fields": ["svc_ms"], "How": "inline"}]),
-        "Tariffs": some_of({}, {"CrossZone": FIGURES}), "WorthBy": some.sampled_from(["request", "work"]),
-        "FamilyInfo": some_of({}, {
-            "ApiTimeout": TIMES, "AyesNeeded": some.integers(0, 9), "NoesNeeded": some.integers(0, 9),
-            "Bake": TIMES, "BallotTtl": TIMES, "CapScope": some.sampled_from(["all", "each_class"]),
-            "Control": some.sampled_from(["first_voice", "by_count", "automatic"]), "ExposureWindow": TIMES,
-            "ForwardOnly": FLAGS, "GuardedStages": some.integers(0, 3), "SpareTries": FIGURES,
-            "StageCap": some.lists(SHARES, max_size=4), "Steps": some.lists(SHARES, max_size=4),
-            "Style": some.sampled_from(["parallel", "replace"]), "VoteAllowance": FIGURES,
-        }),
+        "Tariffs": some_of({}, {"CrossZone": FIGURES}),
+        "WorthBy": some.sampled_from(["request", "work"]),
+        "FamilyInfo": some_of(
+            {},
+            {
+                "ApiTimeout": TIMES,
+                "AyesNeeded": some.integers(0, 9),
+                "NoesNeeded": some.integers(0, 9),
+                "Bake": TIMES,
+                "BallotTtl": TIMES,
+                "CapScope": some.sampled_from(["all", "each_class"]),
+                "Control": some.sampled_from(["first_voice", "by_count", "automatic"]),
+                "ExposureWindow": TIMES,
+                "ForwardOnly": FLAGS,
+                "GuardedStages": some.integers(0, 3),
+                "SpareTries": FIGURES,
+                "StageCap": some.lists(SHARES, max_size=4),
+                "Steps": some.lists(SHARES, max_size=4),
+                "Style": some.sampled_from(["parallel", "replace"]),
+                "VoteAllowance": FIGURES,
+            },
+        ),
     },
 )
-WORLDS = some.fixed_dictionaries({
-    "seed": some.integers(0, 2**32), "machines": some.sampled_from([0, 1, 2, 5, 12]), "news": FLAGS,
-    "requests": some.sampled_from([1, 10, 80]), "bursts": some.sampled_from([0.0, 0.5, 1.0]),
-    "gap": some.sampled_from([0.01, 2.0, 30.0, 300.0]), "changes": some.sampled_from([0, 8, 40]),
-    "apart": some.sampled_from([0.0, 0.5, 1.0]), "in_steps": FLAGS, "bad": some.sampled_from([0.0, 0.2, 1.0]),
-    "good": some.sampled_from([2, 60, 10_000]), "slow": some.sampled_from([0.01, 0.2, 3.0]),
-    "leave": some.sampled_from([0.0, 0.3]), "connects": some.sampled_from([0.0, 0.5]),
-    "unheard": some.sampled_from([0.0, 0.5]), "hints": FLAGS,
-})
+WORLDS = some.fixed_dictionaries(
+    {
+        "seed": some.integers(0, 2**32),
+        "machines": some.sampled_from([0, 1, 2, 5, 12]),
+        "news": FLAGS,
+        "requests": some.sampled_from([1, 10, 80]),
+        "bursts": some.sampled_from([0.0, 0.5, 1.0]),
+        "gap": some.sampled_from([0.01, 2.0, 30.0, 300.0]),
+        "changes": some.sampled_from([0, 8, 40]),
+        "apart": some.sampled_from([0.0, 0.5, 1.0]),
+        "in_steps": FLAGS,
+        "bad": some.sampled_from([0.0, 0.2, 1.0]),
+        "good": some.sampled_from([2, 60, 10_000]),
+        "slow": some.sampled_from([0.01, 0.2, 3.0]),
+        "leave": some.sampled_from([0.0, 0.3]),
+        "connects": some.sampled_from([0.0, 0.5]),
+        "unheard": some.sampled_from([0.0, 0.5]),
+        "hints": FLAGS,
+    }
+)
 
 
 @settings(
-    max_examples=EXAMPLES, deadline=None, derandomize=EXAMPLES <= 150, database=None,
-    suppress_health_check=list(HealthCheck), phases=[Phase.generate],  # to shrink takes minutes
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=EXAMPLES <= 150,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+    phases=[Phase.generate],  # to shrink takes minutes
 )
 @given(ANY, WORLDS)
 def test_the_five_rules_hold_under_any_settings(told, world):
@@ -277,7 +330,10 @@
 @pytest.mark.parametrize(
     ("rule", "make", "told", "world"),
     [
-        ("1", Forgetful, {}, BAD), ("1", Late, {}, BAD), ("2", Repeating, {}, BAD), ("2", Refusing, {}, BAD),
+        ("1", Forgetful, {}, BAD),
+        ("1", Late, {}, BAD),
+        ("2", Repeating, {}, BAD),
+        ("2", Refusing, {}, BAD),
         ("2", Impatient, {"Limits": {"AttemptsCap": 5}}, {**BAD, "slow": 2.0}),
         ("2", Impatient, {"Limits": {"AttemptsCap": 2, "MayDuplicate": True}}, {**BAD, "slow": 2.0}),
         ("3", Deaf, {}, {"changes": 40}),
--- a/tests/test_bad_settings.py
+++ b/tests/test_bad_settings.py
@@ -18,7 +18,10 @@
 from lemonlead.standins.server import until
 
 CONFIG = {
-    "name": "g0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
+    "name": "g0",
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:8500",
+    "seed": "8c1f30d27a5be964",
     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
     "release_api": {
         "address": "127.0.0.1:6400",
@@ -62,37 +65,84 @@
 REQUEST_CLASS, LIMITS, RULES = ("settings", "Lanes", 0), ("settings", "Limits"), ("settings", "Obligations")
 NEWS, RELEASE = ("release_api", "news"), ("settings", "FamilyInfo")
 TIMES = [
-    (*REQUEST_CLASS, "Slo"), (*REQUEST_CLASS, "GiveUp"), ("settings", "Lanes", 1, "Window"),
+    (*REQUEST_CLASS, "Slo"),
+    (*REQUEST_CLASS, "GiveUp"),
+    ("settings", "Lanes", 1, "Window"),
     (*LIMITS, "ConnectTimeout"),
-    (*LIMITS, "IdleClose"), (*LIMITS, "MaxRetryAfter"), (*RULES, "AskWithin"), (*RULES, "DrainGrace"),
-    (*RULES, "Cold"), (*RULES, "Fall"), (*RELEASE, "Bake"), (*RELEASE, "BallotTtl"), (*RELEASE, "ApiTimeout"),
-    (*RELEASE, "ExposureWindow"), ("settings", "Step"),
+    (*LIMITS, "IdleClose"),
+    (*LIMITS, "MaxRetryAfter"),
+    (*RULES, "AskWithin"),
+    (*RULES, "DrainGrace"),
+    (*RULES, "Cold"),
+    (*RULES, "Fall"),
+    (*RELEASE, "Bake"),
+    (*RELEASE, "BallotTtl"),
+    (*RELEASE, "ApiTimeout"),
+    (*RELEASE, "ExposureWindow"),
+    ("settings", "Step"),
 ]
 NUMBERS = [
-    (*REQUEST_CLASS, "Worth"), (*REQUEST_CLASS, "LateWorth"), (*REQUEST_CLASS, "AimStretch"),
+    (*REQUEST_CLASS, "Worth"),
+    (*REQUEST_CLASS, "LateWorth"),
+    (*REQUEST_CLASS, "AimStretch"),
     (*RULES, "ColdFrom"),
-    (*RULES, "OverloadFactor"), (*RELEASE, "VoteAllowance"), (*RELEASE, "SpareTries"), ("settings", "Me"),
-    (*RELEASE, "AyesNeeded"), (*RELEASE, "NoesNeeded"), (*RELEASE, "GuardedStages"), (*LIMITS, "AttemptsCap"),
-    ("settings", "Balancers"), ("settings", "Az"), ("settings", "Projects", 0, "QuotaPerS"),
-    ("settings", "OverShareWorth"), ("settings", "Tariffs", "CrossZone"), (*RELEASE, "StaleBuildPrice"),
-    (*RELEASE, "HarmFee"), ("limits", "sockets"), ("limits", "memory_mb"),
+    (*RULES, "OverloadFactor"),
+    (*RELEASE, "VoteAllowance"),
+    (*RELEASE, "SpareTries"),
+    ("settings", "Me"),
+    (*RELEASE, "AyesNeeded"),
+    (*RELEASE, "NoesNeeded"),
+    (*RELEASE, "GuardedStages"),
+    (*LIMITS, "AttemptsCap"),
+    ("settings", "Balancers"),
+    ("settings", "Az"),
+    ("settings", "Projects", 0, "QuotaPerS"),
+    ("settings", "OverShareWorth"),
+    ("settings", "Tariffs", "CrossZone"),
+    (*RELEASE, "StaleBuildPrice"),
+    (*RELEASE, "HarmFee"),
+    ("limits", "sockets"),
+    ("limits", "memory_mb"),
 ]
 FLAGS = [
-    (*REQUEST_CLASS, "Stream"), (*LIMITS, "Cancel"), (*LIMITS, "MayDuplicate"), (*LIMITS, "Probes"),
-    (*LIMITS, "RetryAfter"), (*RELEASE, "ForwardOnly"),
+    (*REQUEST_CLASS, "Stream"),
+    (*LIMITS, "Cancel"),
+    (*LIMITS, "MayDuplicate"),
+    (*LIMITS, "Probes"),
+    (*LIMITS, "RetryAfter"),
+    (*RELEASE, "ForwardOnly"),
 ]
 OBJECTS = [
-    REQUEST_CLASS, LIMITS, RULES, RELEASE, ("settings",), ("settings", "Tariffs"), ("settings", "Report"),
-    ("settings", "Projects", 0), ("limits",), ("release_api",), NEWS, ("known",),
+    REQUEST_CLASS,
+    LIMITS,
+    RULES,
+    RELEASE,
+    ("settings",),
+    ("settings", "Tariffs"),
+    ("settings", "Report"),
+    ("settings", "Projects", 0),
+    ("limits",),
+    ("release_api",),
+    NEWS,
+    ("known",),
 ]
 LISTS = [
-    ("settings", "Lanes"), ("settings", "Projects"), ("settings", "Areas"), ("settings", "Skus"),
-    (*RELEASE, "StageCap"), (*RELEASE, "Steps"), ("settings", "Report", "Fields"),
+    ("settings", "Lanes"),
+    ("settings", "Projects"),
+    ("settings", "Areas"),
+    ("settings", "Skus"),
+    (*RELEASE, "StageCap"),
+    (*RELEASE, "Steps"),
+    ("settings", "Report", "Fields"),
 ]
 WORDS = [
-    (*REQUEST_CLASS, "Effect"), ("settings", "Lanes", 1, "Group"), (*RELEASE, "Control"),
+    (*REQUEST_CLASS, "Effect"),
+    ("settings", "Lanes", 1, "Group"),
+    (*RELEASE, "Control"),
     (*RELEASE, "CapScope"),
-    (*RELEASE, "Style"), ("settings", "Discovery"), ("settings", "WorthBy"),
+    (*RELEASE, "Style"),
+    ("settings", "Discovery"),
+    ("settings", "WorthBy"),
 ]
 NAMES = [(*REQUEST_CLASS, "Name"), ("settings", "Projects", 0, "Name"), ("name",)]
 ADDRESSES = [("listen",), ("discovery",), ("release_api", "address")]
@@ -105,19 +155,42 @@
     *[(path, value) for path in WORDS for value in ("perhaps", "", 3, None, ["all"])],
     *[(path, value) for path in NAMES for value in (3, None, "", [], ABSENT)],
     *[
-        (path, value) for path in ADDRESSES for value in
-        ("127.0.0.1", ":8500", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:65536", "127.0.0.1:-1", "here:8500",
-         "[::1]:8500", "127.1:8500", "127.0.0.1:8500:9", "127.0.0.1\0:85", "127.0.0.é:85", 8500, None, "", [])
+        (path, value)
+        for path in ADDRESSES
+        for value in (
+            "127.0.0.1",
+            ":8500",
+            "127.0.0.1:",
+            "127.0.0.1:x",
+            "127.0.0.1:65536",
+            "127.0.0.1:-1",
+            "here:8500",
+            "[::1]:8500",
+            "127.1:8500",
+            "127.0.0.1:8500:9",
+            "127.0.0.1\0:85",
+            "127.0.0.é:85",
+            8500,
+            None,
+            "",
+            [],
+        )
     ],
     *[((*LIMITS, "AttemptsCap"), value) for value in (0, 1.5)],
     *[(("limits", "sockets"), value) for value in (0, 25, "many")],
-    (("limits", "memory_mb"), 0), ((*RULES, "ColdFrom"), 1.5), ((*RELEASE, "StageCap"), [0.1, 1.5]),
+    (("limits", "memory_mb"), 0),
+    ((*RULES, "ColdFrom"), 1.5),
+    ((*RELEASE, "StageCap"), [0.1, 1.5]),
     ((*RELEASE, "StageCap"), [0.1, "1"]),
     *[(("seed",), value) for value in ("xyz", "", None, 7, ABSENT)],
     *[((*NEWS, "mode"), value) for value in ("on", None, 3, ABSENT)],
     *[((*NEWS, "release"), value) for value in (-1, "x", None, ABSENT, NAN)],
-    ((*NEWS, "exposure"), 1.5), ((*NEWS, "old_ms"), -1), (("settings",), ABSENT), (("discovery",), ABSENT),
-    (("settings",), None), (("listen",), ABSENT),
+    ((*NEWS, "exposure"), 1.5),
+    ((*NEWS, "old_ms"), -1),
+    (("settings",), ABSENT),
+    (("discovery",), ABSENT),
+    (("settings",), None),
+    (("listen",), ABSENT),
 ]
 
 
@@ -135,10 +208,15 @@
 @pytest.mark.parametrize(
     ("text", "said"),
     [
-        ("{", "is no JSON"), ("", "is no JSON"), ("[" * 100_000, "nested too deep"),
-        ("[]", "expected an object"), ("3", "expected an object"), ("null", "expected an object"),
+        ("{", "is no JSON"),
+        ("", "is no JSON"),
+        ("[" * 100_000, "nested too deep"),
+        ("[]", "expected an object"),
+        ("3", "expected an object"),
+        ("null", "expected an object"),
         ("{}", "settings is missing"),
-        ('{"settings": ' + "9" * 5000 + "}", "is no JSON"), ('{"seed": "\ud800"}', "is no JSON"),
+        ('{"settings": ' + "9" * 5000 + "}", "is no JSON"),
+        ('{"seed": "\ud800"}', "is no JSON"),
     ],
 )
 def test_what_is_no_configuration_at_all_is_refused(tmp_path, text, said):
@@ -176,7 +254,10 @@
     got = read(tmp_path, {**config, "settings": settings, "limits": None, "release_api": None, "known": None})
     start, request_class = got.start, got.request_classes["look"]
     assert (request_class.effect, request_class.group, request_class.memory, request_class.revenue) == (
-        "non-idempotent", "all", 0, 1.0
+        "non-idempotent",
+        "all",
+        0,
+        1.0,
     )
     assert (start.attempts_cap, start.balancers, start.ask_within, start.retry_after_cap) == (1, 1, 0, 0)
     assert (got.platform, got.news, got.connections, got.tenants) == (None, None, 1000, {})
@@ -203,7 +284,8 @@
 @pytest.mark.parametrize(
     "config",
     [
-        changed(*REQUEST_CLASS, "Slo", to=NAN), changed("settings", "Lanes", 1, "Name", to="look"),
+        changed(*REQUEST_CLASS, "Slo", to=NAN),
+        changed("settings", "Lanes", 1, "Name", to="look"),
         changed("known", "servers", to={"a": 1}),
         changed("known", "servers", to=[{"id": "i0", "state": "up"}]),
         changed("known", "servers", to=[{"id": "i0", "state": "draining", "weight": 10**400}]),
@@ -214,7 +296,10 @@
 def test_the_program_says_it_on_one_line_and_ends(tmp_path, config):
     (tmp_path / "config.json").write_text(json.dumps(config))
     done = subprocess.run(
-        [sys.executable, "-m", "lemonlead.gateway"], capture_output=True, text=True, timeout=60,
+        [sys.executable, "-m", "lemonlead.gateway"],
+        capture_output=True,
+        text=True,
+        timeout=60,
         env={"ROUTER_CONFIG": str(tmp_path / "config.json")},
     )
     assert (done.returncode, done.stdout, done.stderr.count("\n")) == (2, "", 1), done.stderr
@@ -230,7 +315,7 @@
             ran.reload(json.dumps({**config, "settings": {**SETTINGS, "Lanes": request_classes}}))
             until(lambda count=count: ran.log().count('event="configuration unfit"') == count)
         assert ran.client().ask().read() == b"aa" and not discovery.asked
-        assert "event=\"configuration read\"" not in ran.log()
+        assert 'event="configuration read"' not in ran.log()
         ran.process.send_signal(signal.SIGTERM)
         assert ran.process.wait(60) == 0
         assert ran.log().count('event="configuration unfit"') == 2 and not discovery.asked
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -311,8 +311,13 @@
 
 
 @pytest.mark.parametrize(
-    "ends, shunned", [([at.RESET], False), ([at.RESET, at.RESET], True), ([at.UNCONNECTED], True),
-                      ([at.RESET, at.SUCCEEDED, at.RESET], False)],
+    "ends, shunned",
+    [
+        ([at.RESET], False),
+        ([at.RESET, at.RESET], True),
+        ([at.UNCONNECTED], True),
+        ([at.RESET, at.SUCCEEDED, at.RESET], False),
+    ],
 )
 def test_one_reset_is_no_sign_of_a_dead_machine(ends, shunned):
     made = balancer([line(1)])
@@ -336,7 +341,8 @@
     "heard, newest, budget, again, held, strikes",
     [
         (5, 5, 0.0, True, 0, 0),  # later ones overtook it: lost, and free
-        (5, 0, 0.0, False, 100 * MS, 0), (5, 0, 1.0, True, 100 * MS, 0),  # others got answers: it may queue
+        (5, 0, 0.0, False, 100 * MS, 0),
+        (5, 0, 1.0, True, 100 * MS, 0),  # others got answers: it may queue
         (0, 0, 1.0, True, 0, 0.5),  # nothing heard since
     ],
 )
@@ -414,10 +420,17 @@
     assert made.verdict(made.judged, NOW + after * SECOND) == verdict
 
 
-@pytest.mark.parametrize("cap, age, after, verdict", [
-    (0.1, 0, 3, at.ON), (0.1, 60, 2, None), (0.1, 60, 3, at.ON), (1.0, 0, 8, None), (1.0, 60, 2, None),
-    (1.0, 60, 3, at.ON),  # a rolling restart is not to hold the last stage for a latency objective more
-])
+@pytest.mark.parametrize(
+    "cap, age, after, verdict",
+    [
+        (0.1, 0, 3, at.ON),
+        (0.1, 60, 2, None),
+        (0.1, 60, 3, at.ON),
+        (1.0, 0, 8, None),
+        (1.0, 60, 2, None),
+        (1.0, 60, 3, at.ON),  # a rolling restart is not to hold the last stage for a latency objective more
+    ],
+)
 def test_a_balancer_that_has_just_started_votes_no_stage_on_by_its_age_alone(cap, age, after, verdict):
     """Guards against a rolling restart that votes a build on by balancers that have sent it nothing yet."""
     request_classes = [at.RequestClass(0, at.IDEMPOTENT, 8 * SECOND, 30 * SECOND, 1.0)]
@@ -481,7 +494,8 @@
 def test_a_request_class_that_waits_at_every_machine_tells_nothing_of_them_and_is_mostly_rejected():
     """Guards against waits of one request class or tenant that drag down limits and costs for others."""
     on, made, dispatcher = (
-        request_class(1), balancer([line(1), line(2)], request_classes=[request_class(), request_class(1)]),
+        request_class(1),
+        balancer([line(1), line(2)], request_classes=[request_class(), request_class(1)]),
         Dispatcher(),
     )
     for number in range(40):
@@ -832,9 +846,15 @@
             moment += 300 * MS
     dispatcher.pull(made, moment + 10 * SECOND)
     sizes = {
-        "members": len(made.members), "ring": len(made.ring), "groups": len(made.groups),
-        "builds": len(made.builds), "wakes": len(made.wakes), "due": len(made.due), "notes": len(made.notes),
-        "times": len(made.times), "taken": sum(map(len, made.taken.values())),
+        "members": len(made.members),
+        "ring": len(made.ring),
+        "groups": len(made.groups),
+        "builds": len(made.builds),
+        "wakes": len(made.wakes),
+        "due": len(made.due),
+        "notes": len(made.notes),
+        "times": len(made.times),
+        "taken": sum(map(len, made.taken.values())),
         "out": sum(len(member.out) for member in made.members.values()),
     }
     assert sizes["members"] == sizes["ring"] == 30 and sizes["builds"] <= 2 and sizes["groups"] == 3
--- a/tests/test_capacity_fleet.py
+++ b/tests/test_capacity_fleet.py
@@ -40,8 +40,14 @@
     points = [(size, fixed + slope * size) for size in (*sizes, held_out)]
     made = [slopes.Point(*point) for point in points]
     return slopes.Slope(
-        name=name, role=role, by="things", unit=unit, points=tuple(made[:-1]), held_out=made[-1],
-        source=SOURCE, **slopes.fitted(points),
+        name=name,
+        role=role,
+        by="things",
+        unit=unit,
+        points=tuple(made[:-1]),
+        held_out=made[-1],
+        source=SOURCE,
+        **slopes.fitted(points),
     )
 
 
@@ -111,8 +117,9 @@
 
 
 def test_a_relay_sends_each_subscriber_its_scopes_when_all_start(small):
-    told = measured(line("relay snapshot", 100, 10, unit="bytes", role="relay", sizes=(100, 200, 1000),
-                         held_out=2000))
+    told = measured(
+        line("relay snapshot", 100, 10, unit="bytes", role="relay", sizes=(100, 200, 1000), held_out=2000)
+    )
     its, every = [row for row in sizing.rows(small) if row.slope == "relay snapshot" and row.role == "relay"]
     assert its.at(told, RESTART).figure == pytest.approx(5 * (100 + 10 * 375))  # 5 subscribers, 375 records
     assert every.at(told, RESTART).figure == pytest.approx(5 * (100 + 10 * 1500))
@@ -137,7 +144,7 @@
     told = [line(name, 10, 2) for name in sorted(names)]
     assert sizing.total(measured(*told), rows, CALM).figure > 0
     for left_out in range(len(told)):
-        assert sizing.total(measured(*told[:left_out], *told[left_out + 1:]), rows, CALM) is None
+        assert sizing.total(measured(*told[:left_out], *told[left_out + 1 :]), rows, CALM) is None
 
 
 def test_control_counts_nothing_twice(small):
@@ -204,7 +211,14 @@
 
 def test_figures_as_words():
     assert [number(one) for one in (0, 0.0000012, 0.012345, 10.789, 999.6, 1234.5, 247_900, -0.5)] == [
-        "0", "0.0000012", "0.0123", "10.8", "1,000", "1,230", "248,000", "-0.5",
+        "0",
+        "0.0000012",
+        "0.0123",
+        "10.8",
+        "1,000",
+        "1,230",
+        "248,000",
+        "-0.5",
     ]
     assert [seconds(one) for one in (16.4, 0.0123, 0.0000042)] == ["16.4 s", "12.3 ms", "4.2 us"]
     assert [size(one) for one in (12, 8000, 3_500_000, 2.5e9)] == ["12 B", "8 KB", "3.5 MB", "2.5 GB"]
@@ -249,23 +263,26 @@
     return change
 
 
-@pytest.mark.parametrize("change, path, found", [
-    (put(5, "slopes"), "slopes", "int"),
-    (put("x", "slopes", 0, "fixed"), "slopes[0].fixed", "str"),
-    (put(10.5, "slopes", 0, "fixed"), "slopes[0].fixed", "10.5"),
-    (put(2.1, "slopes", 1, "slope"), "slopes[1].slope", "2.1"),
-    (put(0.3, "slopes", 1, "error"), "slopes[1].error", "0.3"),
-    (put(0.3, "slopes", 1, "held_out_error"), "slopes[1].held_out_error", "0.3"),
-    (put("one", "slopes", 1, "name"), "slopes[1].name", "'one'"),
-    (put(0, "slopes", 0, "points", 0, "figure"), "slopes[0].points[0].figure", ""),
-    (put(-1, "slopes", 0, "points", 0, "size"), "slopes[0].points[0].size", ""),
-    (put(2, "slopes", 0, "points", 0, "size"), "slopes[0].points", "[2.0, 2.0, 4.0, 8.0]"),
-    (put([], "slopes", 0, "points"), "slopes[0].points", ""),
-    (put("today", "slopes", 0, "source", "date"), "slopes[0].source.date", ""),
-    (put(1, "slopes", 0, "more"), "slopes[0]", "unknown field `more`"),
-    (put(None, "slopes", 0, "held_out"), "slopes[0].held_out", "null"),
-    (put([{"of": "a zone"}], "runs"), "runs[0]", ""),
-])
+@pytest.mark.parametrize(
+    "change, path, found",
+    [
+        (put(5, "slopes"), "slopes", "int"),
+        (put("x", "slopes", 0, "fixed"), "slopes[0].fixed", "str"),
+        (put(10.5, "slopes", 0, "fixed"), "slopes[0].fixed", "10.5"),
+        (put(2.1, "slopes", 1, "slope"), "slopes[1].slope", "2.1"),
+        (put(0.3, "slopes", 1, "error"), "slopes[1].error", "0.3"),
+        (put(0.3, "slopes", 1, "held_out_error"), "slopes[1].held_out_error", "0.3"),
+        (put("one", "slopes", 1, "name"), "slopes[1].name", "'one'"),
+        (put(0, "slopes", 0, "points", 0, "figure"), "slopes[0].points[0].figure", ""),
+        (put(-1, "slopes", 0, "points", 0, "size"), "slopes[0].points[0].size", ""),
+        (put(2, "slopes", 0, "points", 0, "size"), "slopes[0].points", "[2.0, 2.0, 4.0, 8.0]"),
+        (put([], "slopes", 0, "points"), "slopes[0].points", ""),
+        (put("today", "slopes", 0, "source", "date"), "slopes[0].source.date", ""),
+        (put(1, "slopes", 0, "more"), "slopes[0]", "unknown field `more`"),
+        (put(None, "slopes", 0, "held_out"), "slopes[0].held_out", "null"),
+        (put([{"of": "a zone"}], "runs"), "runs[0]", ""),
+    ],
+)
 @pytest.mark.parametrize("as_json", [False, True])
 def test_slopes_that_cannot_be_used_are_told_and_nothing_is_written(tmp_path, change, path, found, as_json):
     told = told_slopes()
@@ -295,16 +312,24 @@
     assert not (tmp_path / "page.md").exists()
 
 
-@pytest.mark.parametrize("old, new, path, allowed", [
-    ("zones: 4", "zones: 1", "zones", "2 regions at least"),
-    ("services_a_gateway: 5", "services_a_gateway: 21", "guesses.services_a_gateway", "at most all services"),
-    ("rack_instances: 8", "rack_instances: 401", "guesses.rack_instances", "at most all instances"),
-    ("lost_machines: 1", "lost_machines: 3", "guesses.lost_machines", "less than control.machines"),
-    ("gateways: 10", "gateways: 0", "gateways", ""),
-    ("gateways: 10", 'gateways: "10"', "gateways", ""),
-    ("gateways: 10", "", "gateways", ""),
-    ("added: 2ms", "added: 2", "added", ""),
-])
+@pytest.mark.parametrize(
+    "old, new, path, allowed",
+    [
+        ("zones: 4", "zones: 1", "zones", "2 regions at least"),
+        (
+            "services_a_gateway: 5",
+            "services_a_gateway: 21",
+            "guesses.services_a_gateway",
+            "at most all services",
+        ),
+        ("rack_instances: 8", "rack_instances: 401", "guesses.rack_instances", "at most all instances"),
+        ("lost_machines: 1", "lost_machines: 3", "guesses.lost_machines", "less than control.machines"),
+        ("gateways: 10", "gateways: 0", "gateways", ""),
+        ("gateways: 10", 'gateways: "10"', "gateways", ""),
+        ("gateways: 10", "", "gateways", ""),
+        ("added: 2ms", "added: 2", "added", ""),
+    ],
+)
 def test_targets_that_cannot_be_used_are_told_with_their_place(tmp_path, old, new, path, allowed):
     (tmp_path / "small.cue").write_text(SMALL.replace(old, new, 1))
     done = ran(tmp_path / "small.cue", "--slopes", MEASURED, "--page", tmp_path / "page.md")
@@ -374,7 +399,16 @@
 
 
 INSIDE = (
-    "rules", "tenants", "discovery", "news", "followers", "nodes", "store", "subscribers", "scope", "changes",
+    "rules",
+    "tenants",
+    "discovery",
+    "news",
+    "followers",
+    "nodes",
+    "store",
+    "subscribers",
+    "scope",
+    "changes",
 )
 
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -203,10 +203,13 @@
     assert {row["rule"] for row in told["requests"]} >= {"big-customer", "careful"}
 
 
-@pytest.mark.parametrize("module, kept_out", [
-    ("lemonlead.commands", "lark re2 structlog xxhash tabulate"),
-    ("lemonlead.gateway.__main__", "lark re2 click xxhash tabulate rich"),
-])
+@pytest.mark.parametrize(
+    "module, kept_out",
+    [
+        ("lemonlead.commands", "lark re2 structlog xxhash tabulate"),
+        ("lemonlead.gateway.__main__", "lark re2 click xxhash tabulate rich"),
+    ],
+)
 def test_what_a_command_does_not_need_is_not_imported(module, kept_out):
     code = f"import sys, {module}; print(sorted(set({kept_out.split()!r}) & set(sys.modules)))"
     assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == "[]\n"
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -56,7 +56,7 @@
         self.dispatcher.service = SimpleNamespace(ended=lambda *_: None, vote=lambda *_: None)
         self.balancer, self.request_classes = (
             self.dispatcher.balancer,
-            {request_class.number: request_class for request_class in config.start.request_classes}
+            {request_class.number: request_class for request_class in config.start.request_classes},
         )
         self.balancer.stage_told(now(), 1, 0, at.RELEASED, 1.0, 0)
         self.asked, self.faulty = [], False
@@ -140,16 +140,16 @@
     yield make
     for server in servers:
         server.close()
-    assert (
-        [one.dispatcher.counters.read().get("faults", 0) > 0 for one in made] == [one.faulty for one in made]
-    )
+    assert [one.dispatcher.counters.read().get("faults", 0) > 0 for one in made] == [
+        one.faulty for one in made
+    ]
 
 
 def test_an_attempt_that_is_not_sent_leaves_its_connection_as_long_unused_as_it_was(world, monkeypatch):
     made = world(server := InstanceServer().start())
     assert made.answered(made.ask()) == b"$1\r\n0\r\n"
     made.ended()
-    (connection,), = [made.unused()]
+    ((connection,),) = [made.unused()]
     answered = connection.used
     halt = Halt(monkeypatch, made.instances, "reach", after=True)
     given_up = made.ask()
@@ -363,8 +363,9 @@
 
 def second(made, ask, id="i1"):
     """Decides on another attempt."""
-    made.dispatcher.tell(lambda moment: made.balancer.attempt(
-        ask.request, made.balancer.members[id], moment, made.dispatcher))
+    made.dispatcher.tell(
+        lambda moment: made.balancer.attempt(ask.request, made.balancer.members[id], moment, made.dispatcher)
+    )
 
 
 @pytest.mark.parametrize("by", ["an answer", "the client leaves", "cancelled", "a break", "the deadline"])
@@ -374,7 +375,7 @@
         limit = instances.limit
         monkeypatch.setattr(instances, "limit", lambda until: limit(now() + 50 * MS))
     ask = stuck(made, server)
-    attempt, = ask.request.attempts
+    (attempt,) = ask.request.attempts
     if by == "an answer":
         made.list("i1", other := InstanceServer().start())
         second(made, ask)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -46,7 +46,10 @@
     stands, which is `ours(client)`."""
     known = entries or [entry(f"i{n}", server) for n, server in enumerate(servers)]
     config = {
-        "name": "g0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+        "name": "g0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "8c1f30d27a5be964",
         "limits": limits or {"memory_mb": 192, "sockets": 1024},
         "release_api": {"news": {"release": 1, "tranche": 0, "mode": "released", "exposure": 1, "old_ms": 9}},
         "known": {"version": 1, "servers": known},
@@ -91,9 +94,14 @@
 
     try:
         yield SimpleNamespace(
-            gateway_server=gateway_server, dispatcher=dispatcher, log=log, count=count, client=client,
+            gateway_server=gateway_server,
+            dispatcher=dispatcher,
+            log=log,
+            count=count,
+            client=client,
             ours=ours,
-            tell=tell, thread=thread
+            tell=tell,
+            thread=thread,
         )
         assert not [line for line in log.lines if line[0] == "fault"] and thread.is_alive()
     finally:
@@ -167,9 +175,7 @@
         pass
 
 
-def test_half_a_command_that_becomes_whole_during_a_look_at_it_is_no_error(
-    tmp_path, monkeypatch
-):
+def test_half_a_command_that_becomes_whole_during_a_look_at_it_is_no_error(tmp_path, monkeypatch):
     with gateway(tmp_path, InstanceServer().start()) as ran:
         client = ran.client()
         ours = ran.ours(client)
@@ -361,7 +367,9 @@
     """It may wait for over 0.1 s to be accepted, for a thread, or to be read."""
     server, met, go = InstanceServer().start(), threading.Event(), threading.Event()
     owner, name = {
-        "accepted": (Server, "admit"), "given a thread": (ThreadPool, "do"), "read": (clients.Client, "read")
+        "accepted": (Server, "admit"),
+        "given a thread": (ThreadPool, "do"),
+        "read": (clients.Client, "read"),
     }[where]
     real = getattr(owner, name)
 
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -282,8 +282,13 @@
 @pytest.mark.parametrize(
     "head, byte",
     [
-        (b"", b"H"), (b"HTTP/1.1 200 OK\r\n", b"x"), (b"HTTP/1.1 200 OK\r\n\r\n", b" "), (CHUNKED, b"0"),
-        (CHUNKED + b"1;", b"x"), (CHUNKED + b"ffff\r\n", b"["), (CHUNKED + b"1\r\n\n\r\n", b"0"),
+        (b"", b"H"),
+        (b"HTTP/1.1 200 OK\r\n", b"x"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b" "),
+        (CHUNKED, b"0"),
+        (CHUNKED + b"1;", b"x"),
+        (CHUNKED + b"ffff\r\n", b"["),
+        (CHUNKED + b"1\r\n\n\r\n", b"0"),
     ],
     ids=["status", "header", "body", "chunk size", "chunk extension", "chunk", "after a sign of life"],
 )
@@ -428,7 +433,12 @@
     first.then = once(then)
     pushed = {"Discovery": "push", "Balancers": 200}
     with fleet.gateway(
-        tmp_path, old, new, entries=[entry("i0", old)], settings=pushed, source=first.start(),
+        tmp_path,
+        old,
+        new,
+        entries=[entry("i0", old)],
+        settings=pushed,
+        source=first.start(),
         serves=signal.SIGTERM not in signals,
     ) as ran:
         if signal.SIGTERM in signals:
@@ -477,8 +487,10 @@
 @pytest.mark.parametrize(
     "entries, there",
     [
-        ([("up", 1, 0), ("draining", 1, 0)], None), ([("draining", 1, 0), ("up", 1, 0)], (1, 0)),
-        ([("removed", 1, 0), ("up", 2, 9)], (2, 9)), ([("up", 1, 0), ("up", 2, 9)], (2, 9)),
+        ([("up", 1, 0), ("draining", 1, 0)], None),
+        ([("draining", 1, 0), ("up", 1, 0)], (1, 0)),
+        ([("removed", 1, 0), ("up", 2, 9)], (2, 9)),
+        ([("up", 1, 0), ("up", 2, 9)], (2, 9)),
         ([("up", 2, 9), ("removed", 2, 9)], None),
     ],
 )
@@ -486,7 +498,8 @@
     server, pools = servers(DiscoveryServer()), {}
     made, dispatcher = watch(server)
     dispatcher.balancer, dispatcher.instances.listed = (
-        balancer(), lambda id, where, since: pools.update({id: where})
+        balancer(),
+        lambda id, where, since: pools.update({id: where}),
     )
     lines = [entry("a", server, state, build, since) for state, build, since in entries]
     made.told(json.dumps({"version": 2, "full": whole, "servers": lines}).encode(), made.source)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1139,7 +1139,7 @@
     held = made(index=10, a={f"k{n}": (1, {**UP, "at": f"10.0.0.{n}"}) for n in range(30)}, b={})
     box = Outbox(0, held, {"a": 0, "b": 0}, 8000, BURST)
     found = lines(box)
-    held.apply(11, [("a", "k3", OUT), ("b", "k", {"text": "\u00e4\n\\\""})])
+    held.apply(11, [("a", "k3", OUT), ("b", "k", {"text": '\u00e4\n\\"'})])
     return found + lines(box, 2 * HOUR)
 
 
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -86,15 +86,25 @@
 @pytest.mark.parametrize(
     "answer, end, kept",
     [
-        (GOOD, at.SUCCEEDED, True), (b"-ERR failed\r\n", at.ERRED, True), (b"-BUSY\r\n", at.REJECTED, True),
+        (GOOD, at.SUCCEEDED, True),
+        (b"-ERR failed\r\n", at.ERRED, True),
+        (b"-BUSY\r\n", at.REJECTED, True),
         (GOOD[:-5] + b"$3\r\n=,=\r\n", at.SUCCEEDED, True),  # a report that cannot be read
-        (GOOD + GOOD, at.SUCCEEDED, False), (GOOD + b"\xf6", at.SUCCEEDED, False),
-        (b"-BUSY\r\n$5", at.REJECTED, False), (b"-ERR bad request\r\n", at.UNFIT, False),
-        (b"*1\r\n$-1\r\n", at.SPOILT, False), (b"$1\r\nv\r\n", at.SPOILT, False),
-        (b":5\r\n", at.SPOILT, False), (b"+OK\r\n", at.SPOILT, False), (b"-\xf6\r\n", at.SPOILT, False),
-        (b"x\r\n", at.SPOILT, False), (b"*3\r\n$-7\r\n", at.SPOILT, False),
-        (b"*3\r\n$3000000000\r\n", at.SPOILT, False), (b"x" * 2000, at.SPOILT, False),
-        (b"*2\r\n$1\r\nv\r\n$-1\r\n", at.SPOILT, False), (b"*3\r\n$1\r\nv", at.RESET, False),
+        (GOOD + GOOD, at.SUCCEEDED, False),
+        (GOOD + b"\xf6", at.SUCCEEDED, False),
+        (b"-BUSY\r\n$5", at.REJECTED, False),
+        (b"-ERR bad request\r\n", at.UNFIT, False),
+        (b"*1\r\n$-1\r\n", at.SPOILT, False),
+        (b"$1\r\nv\r\n", at.SPOILT, False),
+        (b":5\r\n", at.SPOILT, False),
+        (b"+OK\r\n", at.SPOILT, False),
+        (b"-\xf6\r\n", at.SPOILT, False),
+        (b"x\r\n", at.SPOILT, False),
+        (b"*3\r\n$-7\r\n", at.SPOILT, False),
+        (b"*3\r\n$3000000000\r\n", at.SPOILT, False),
+        (b"x" * 2000, at.SPOILT, False),
+        (b"*2\r\n$1\r\nv\r\n$-1\r\n", at.SPOILT, False),
+        (b"*3\r\n$1\r\nv", at.RESET, False),
         (b"", at.RESET, False),
     ],
 )
@@ -239,8 +249,14 @@
 
 @pytest.mark.parametrize(
     "asked, others, rested, ends",
-    [(True, 1, 1.0, None), (True, 1, 2.1, "rest"), (True, 4, 0.2, None), (True, 4, 0.3, "rest"),
-     (False, 4, 0.3, None), (False, 1, 1.0, "silent")],
+    [
+        (True, 1, 1.0, None),
+        (True, 1, 2.1, "rest"),
+        (True, 4, 0.2, None),
+        (True, 4, 0.3, "rest"),
+        (False, 4, 0.3, None),
+        (False, 1, 1.0, "silent"),
+    ],
 )
 def test_an_unused_connection_ends_the_sooner_the_more_there_are(asked, others, rested, ends):
     config = SimpleNamespace(connections=16, memory=16000, listen=("127.0.0.1", 0))
@@ -273,12 +289,24 @@
 
 @pytest.mark.parametrize(
     "text",
-    ["{", "[]", "5", "[" * 100000, '{"version": 5}', '{"version": 5, "servers": 5}', "\xf6", "null"] + [
+    ["{", "[]", "5", "[" * 100000, '{"version": 5}', '{"version": 5, "servers": 5}', "\xf6", "null"]
+    + [
         json.dumps({"version": 5, "full": True, "servers": [{**ENTRY, "id": "i2"}, {**ENTRY, **spoilt}]})
         for spoilt in (
-            {"id": 5}, {"id": None}, {"state": "odd"}, {"state": []}, {"addr": "nowhere"}, {"addr": 5},
-            {"addr": "h:99999"}, {"revision_no": True}, {"revision_no": "1"}, {"revision_no": float("inf")},
-            {"weight": float("nan")}, {"started_ms": 10**400}, {"started_ms": -1}, {"zone": {}},
+            {"id": 5},
+            {"id": None},
+            {"state": "odd"},
+            {"state": []},
+            {"addr": "nowhere"},
+            {"addr": 5},
+            {"addr": "h:99999"},
+            {"revision_no": True},
+            {"revision_no": "1"},
+            {"revision_no": float("inf")},
+            {"weight": float("nan")},
+            {"started_ms": 10**400},
+            {"started_ms": -1},
+            {"zone": {}},
         )
     ],
     ids=range(22),
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -31,7 +31,7 @@
     with gateway(tmp_path, server) as ran:
         assert ran.client().write(resp.command([b"PING"])).read() == b"PONG"
         assert ran.client().ask(b"7f3a", request_class, body=body, h=5000, r=1).read() == b"7f3a"
-        (name, key, _, extras, *rest), = server.got
+        ((name, key, _, extras, *rest),) = server.got
         said = dict(pair.split("=") for pair in extras.decode().split(","))
         assert (name, key, tuple(rest)) == (b"Q.ASK" if request_class == "look" else b"Q.DO", b"7f3a", body)
         assert 0 < int(said.pop("d")) <= 20000
@@ -79,11 +79,27 @@
 @pytest.mark.parametrize(
     "words",
     [
-        "HELLO", "Q.ASK", "Q.ASK k i", "Q.ASK k i c=odd,d=10", "Q.ASK k i c=look", "Q.ASK k i c=look,d=0",
-        "Q.ASK k i c=look,d=-5", "Q.ASK k i c=look,d=nan", "Q.ASK k i c=buy,d=10", "Q.DO k i c=look,d=10",
-        "Q.DO k i c=hold,d=10", "Q.ASK k i junk", "Q.ASK k i c=look,d=10,h=x", "Q.ASK k i c=look,d=1e3",
-        "Q.ASK k i c=look,d=+5", "Q.ASK k i c=look,d=10 BODY", "Q.ASK k i c=look,d=10,d=20", "Q.ASK k",
-        "Q.ASK k i c=look,d=1_0", "Q.DO k i c=hold,d=10,k=", "Q.ASK k " + "i" * 200 + " c=look,d=10",
+        "HELLO",
+        "Q.ASK",
+        "Q.ASK k i",
+        "Q.ASK k i c=odd,d=10",
+        "Q.ASK k i c=look",
+        "Q.ASK k i c=look,d=0",
+        "Q.ASK k i c=look,d=-5",
+        "Q.ASK k i c=look,d=nan",
+        "Q.ASK k i c=buy,d=10",
+        "Q.DO k i c=look,d=10",
+        "Q.DO k i c=hold,d=10",
+        "Q.ASK k i junk",
+        "Q.ASK k i c=look,d=10,h=x",
+        "Q.ASK k i c=look,d=1e3",
+        "Q.ASK k i c=look,d=+5",
+        "Q.ASK k i c=look,d=10 BODY",
+        "Q.ASK k i c=look,d=10,d=20",
+        "Q.ASK k",
+        "Q.ASK k i c=look,d=1_0",
+        "Q.DO k i c=hold,d=10,k=",
+        "Q.ASK k " + "i" * 200 + " c=look,d=10",
     ],
 )
 def test_a_command_that_makes_no_sense_gets_an_error_and_the_connection_stays(shared, words):
@@ -123,8 +139,14 @@
 
 
 @pytest.mark.parametrize(
-    "data, reason", [(b"", "silent"), (b"*4\r\n$5\r\nQ.A", "malformed"), (b"no end", "malformed"),
-                     (b"*1\r\n$4\r\nPING\r\n", "rest"), (b"*1\r\n$60000000\r\n" + b"x" * 9999, "malformed")],
+    "data, reason",
+    [
+        (b"", "silent"),
+        (b"*4\r\n$5\r\nQ.A", "malformed"),
+        (b"no end", "malformed"),
+        (b"*1\r\n$4\r\nPING\r\n", "rest"),
+        (b"*1\r\n$60000000\r\n" + b"x" * 9999, "malformed"),
+    ],
 )
 def test_a_connection_that_holds_a_place_for_nothing_ends(tmp_path, data, reason):
     with gateway(tmp_path, InstanceServer().start()) as ran:
@@ -144,11 +166,16 @@
 @pytest.mark.parametrize(
     "answer, request_class, ending",
     [
-        (b"-BUSY\r\n", "look", b"BUSY 62"), (b"-BUSY\r\n", "buy", b"BUSY 62"),  # never ran
-        (b"-ERR failed\r\n", "buy", b"ERR aborted"), (b"-ERR failed\r\n", "look", b"BUSY 62"),
-        (None, "buy", b"ERR aborted"), (None, "hold", b"BUSY 62"),  # reset after the last byte
-        (b"nonsense\r\n", "buy", b"ERR aborted"), (b"$-1\r\n", "buy", b"ERR aborted"),
-        (b":5\r\n", "hold", b"BUSY 62"), (b"-ERR bad request\r\n", "look", b"ERR aborted"),
+        (b"-BUSY\r\n", "look", b"BUSY 62"),
+        (b"-BUSY\r\n", "buy", b"BUSY 62"),  # never ran
+        (b"-ERR failed\r\n", "buy", b"ERR aborted"),
+        (b"-ERR failed\r\n", "look", b"BUSY 62"),
+        (None, "buy", b"ERR aborted"),
+        (None, "hold", b"BUSY 62"),  # reset after the last byte
+        (b"nonsense\r\n", "buy", b"ERR aborted"),
+        (b"$-1\r\n", "buy", b"ERR aborted"),
+        (b":5\r\n", "hold", b"BUSY 62"),
+        (b"-ERR bad request\r\n", "look", b"ERR aborted"),
         (b"*3\r\n$5\r\nab", "buy", b"ERR aborted"),  # broken amid the answer
     ],
 )
@@ -408,8 +435,10 @@
     if text is not None:
         path.write_text(text)
     done = subprocess.run(
-        [sys.executable, "-m", "lemonlead.gateway"], env={"ROUTER_CONFIG": str(path)},
-        capture_output=True, text=True,
+        [sys.executable, "-m", "lemonlead.gateway"],
+        env={"ROUTER_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
     )
     assert done.returncode == 2 and done.stderr.count("\n") == 1 and done.stdout == ""
 
--- a/tests/test_list_changes.py
+++ b/tests/test_list_changes.py
@@ -12,7 +12,17 @@
 from lemonlead import interface as at
 from lemonlead import members
 from lemonlead.balance import (
-    GOLDEN, MS, NEAR, PAIR, PAIR_OUTCOMES, RESCUES, TICK, WARM_UP, Balancer, middle, recent
+    GOLDEN,
+    MS,
+    NEAR,
+    PAIR,
+    PAIR_OUTCOMES,
+    RESCUES,
+    TICK,
+    WARM_UP,
+    Balancer,
+    middle,
+    recent,
 )
 from lemonlead.members import Members
 from lemonlead.planning import fleet, world
@@ -132,8 +142,17 @@
         for n, build in made.builds.items()
     }
     return (
-        list(made.members), [member.id for member in made.ring], number, builds, made.like, made.share,
-        made.pair_at, made.calm_time, list(made.groups), made.wake_at(), made.rng.getstate(),
+        list(made.members),
+        [member.id for member in made.ring],
+        number,
+        builds,
+        made.like,
+        made.share,
+        made.pair_at,
+        made.calm_time,
+        list(made.groups),
+        made.wake_at(),
+        made.rng.getstate(),
         [(m.cold_due, m.limit, m.slowness, m.shunned_until) for m in made.members.values()],
     )
 
@@ -145,10 +164,19 @@
 
 
 REQUEST_CLASSES = (
-    (at.IDEMPOTENT, {}), (at.NON_IDEMPOTENT, {}), (at.DEDUPLICATED, {"group": "zone", "memory": 3 * S})
+    (at.IDEMPOTENT, {}),
+    (at.NON_IDEMPOTENT, {}),
+    (at.DEDUPLICATED, {"group": "zone", "memory": 3 * S}),
 )
 ENDS = (at.SUCCEEDED,) * 9 + (
-    at.ERRED, at.REJECTED, at.TIMED_OUT, at.UNCONNECTED, at.RESET, at.CANCELLED, at.NOT_SENT, at.UNFIT
+    at.ERRED,
+    at.REJECTED,
+    at.TIMED_OUT,
+    at.UNCONNECTED,
+    at.RESET,
+    at.CANCELLED,
+    at.NOT_SENT,
+    at.UNFIT,
 )
 STATES = (at.READY,) * 5 + (at.DRAINING, at.GONE)
 
@@ -156,13 +184,31 @@
 def start_of(seed):
     chance = random.Random(seed)
     return at.Start(
-        now=NOW, seed=chance.getrandbits(64), me=chance.randrange(300), balancers=chance.choice((1, 6, 200)),
-        step=5 * MS, attempts_cap=4, may_cancel=True, may_duplicate=chance.random() < 0.8,
-        connect_time=250 * MS, cold_time=5000 * MS, cold_share=0.4, cold_window=2000 * MS, cold_multiple=3.0,
-        idle_time=15 * S, prices={"CrossZone": 0.2}, retry_after_cap=500 * MS,
+        now=NOW,
+        seed=chance.getrandbits(64),
+        me=chance.randrange(300),
+        balancers=chance.choice((1, 6, 200)),
+        step=5 * MS,
+        attempts_cap=4,
+        may_cancel=True,
+        may_duplicate=chance.random() < 0.8,
+        connect_time=250 * MS,
+        cold_time=5000 * MS,
+        cold_share=0.4,
+        cold_window=2000 * MS,
+        cold_multiple=3.0,
+        idle_time=15 * S,
+        prices={"CrossZone": 0.2},
+        retry_after_cap=500 * MS,
         release=at.Release(
-            window=2000 * MS, free_attempts=chance.choice((2, 50)), vote_life=4000 * MS, bake=1000 * MS,
-            answer_time=800 * MS, votes_per_s=100.0, caps=[0.1, 0.5, 1.0], steps=[0.1, 0.5, 1.0],
+            window=2000 * MS,
+            free_attempts=chance.choice((2, 50)),
+            vote_life=4000 * MS,
+            bake=1000 * MS,
+            answer_time=800 * MS,
+            votes_per_s=100.0,
+            caps=[0.1, 0.5, 1.0],
+            steps=[0.1, 0.5, 1.0],
         ),
         request_classes=[
             request_class(n, effect, **more) for n, (effect, more) in enumerate(REQUEST_CLASSES)
--- a/tests/test_member_parts.py
+++ b/tests/test_member_parts.py
@@ -242,7 +242,10 @@
 def hosting(dispatcher):
     host = Host.__new__(Host)
     host.loop, host.dispatcher, host.wake, host.ended = (
-        asyncio.get_running_loop(), dispatcher, dispatcher.wake, False
+        asyncio.get_running_loop(),
+        dispatcher,
+        dispatcher.wake,
+        False,
     )
     host.messages, host.inputs, host.soon, host.timer = peers.deque(), peers.deque(), None, None
     host.leaving = {}
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -19,6 +19,7 @@
 from lemonlead.standins.move_faults import FAULTS, NAMES, STEPS, awaited, begin, crossed, lossy, made, stop
 from lemonlead.standins.two_clusters import MS, SECOND, World, furnish, serve
 
+
 def ends(world, most=900 * SECOND):
     """It comes to its end, on both sides, with nothing broken on the way."""
     assert world.run_till(world.quiet, most), [world.move("m"), world.watch.broken]
@@ -185,9 +186,9 @@
     end = ends(world)
     assert end == "done" or "ebene" in clusters and step[0] == "reserving" and end == "refused"
     assert holders(world) == (["ebene"] if end == "done" else ["louis"])
-    assert world.run_till(lambda: all(
-        world.sides[cluster].state.part("drains")["d"].phase == "done" for cluster in clusters
-    ))
+    assert world.run_till(
+        lambda: all(world.sides[cluster].state.part("drains")["d"].phase == "done" for cluster in clusters)
+    )
     assert world.watch.broken == []
 
 
@@ -222,10 +223,12 @@
 
     def hook(side, changes):
         if any(part == "groups" for part, _ in changes):
-            sizes.append(tuple(
-                len(getattr(world.sides[name].state.part("groups").get("search/replicas"), "nodes", ()))
-                for name in ("louis", "ebene")
-            ))
+            sizes.append(
+                tuple(
+                    len(getattr(world.sides[name].state.part("groups").get("search/replicas"), "nodes", ()))
+                    for name in ("louis", "ebene")
+                )
+            )
 
     world.hooks.append(hook)
     begin(world)
@@ -287,9 +290,9 @@
 
     def declare(name, number=0):
         nodes = (f"{name}-0", f"{name}-1")
-        return world.sides[name].do(capacity.GroupCommand(
-            id=f"q{number}", group="search/replicas", nodes=nodes, quorum=1
-        ))
+        return world.sides[name].do(
+            capacity.GroupCommand(id=f"q{number}", group="search/replicas", nodes=nodes, quorum=1)
+        )
 
     def both():
         held = world.sides["ebene"].state.part("holds").get("louis/m")
@@ -371,9 +374,7 @@
     begin(world)
     world.run_till(lambda: world.move("m").step == "shifting")
     ebene = world.sides["ebene"]
-    refused = [
-        stop(world, "louis/m", "ebene"), ebene.do(capacity.Free(id="f", reservation="search-wide"))
-    ]
+    refused = [stop(world, "louis/m", "ebene"), ebene.do(capacity.Free(id="f", reservation="search-wide"))]
     assert [code for code, _ in refused] == [409, 409]
     assert refused[0][1]["error"]["type"] == "DecidedElsewhere"
     assert ends(world) == "done"
@@ -480,7 +481,12 @@
 @pytest.mark.parametrize("source, code", (("louis", 200), ("a/b", 400), ("", 400)))
 def test_a_source_whose_name_could_be_taken_for_another_makes_no_sense(source, code):
     take = rules.HoldTake(
-        id="x", source=source, move="m", epoch=5, floor=5, service="s",
+        id="x",
+        source=source,
+        move="m",
+        epoch=5,
+        floor=5,
+        service="s",
         pieces=(rules.Piece("r", 1, 0, "ebene"),),
     )
     assert made().sides["ebene"].do(take)[0] == code
@@ -522,13 +528,22 @@
 
 def takes_too_much(draft, command):
     for piece in command.pieces:
-        capacity.keep(draft, piece.reservation, capacity.Reservation(
-            command.service, piece.units, (), "ebene", command.key
-        ))
-    draft.put("holds", command.key, rules.Hold(
-        command.source, command.move, command.epoch, command.service,
-        reservations=tuple(piece.reservation for piece in command.pieces),
-    ))
+        capacity.keep(
+            draft,
+            piece.reservation,
+            capacity.Reservation(command.service, piece.units, (), "ebene", command.key),
+        )
+    draft.put(
+        "holds",
+        command.key,
+        rules.Hold(
+            command.source,
+            command.move,
+            command.epoch,
+            command.service,
+            reservations=tuple(piece.reservation for piece in command.pieces),
+        ),
+    )
 
 
 def takes_half(draft, command):
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -54,8 +54,19 @@
 @pytest.mark.parametrize(
     "data",
     [
-        b"*1\r\n$65537\r\n", b"*65\r\n", b"*-2\r\n", b"$-2\r\n", b"*x\r\n", b"hello\r\n", b"\r\n",
-        b"*1\r\n$3\r\nabcde", b"x" * 1025, b"*1\r\n$1x\r\n", b"*" + b"1" * 1025, b"*1\r\n" * 5, b"$--1\r\n",
+        b"*1\r\n$65537\r\n",
+        b"*65\r\n",
+        b"*-2\r\n",
+        b"$-2\r\n",
+        b"*x\r\n",
+        b"hello\r\n",
+        b"\r\n",
+        b"*1\r\n$3\r\nabcde",
+        b"x" * 1025,
+        b"*1\r\n$1x\r\n",
+        b"*" + b"1" * 1025,
+        b"*1\r\n" * 5,
+        b"$--1\r\n",
     ],
 )
 def test_what_is_malformed_or_too_long_is_said_to_be(data, commands):
@@ -102,11 +113,18 @@
 @pytest.mark.parametrize(
     "data",
     [
-        b"nonsense\r\n", b"HTTP/1.1 two\r\n", b"HTTP/1.1 200 OK\r\nno header\r\n",
-        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"nonsense\r\n",
+        b"HTTP/1.1 two\r\n",
+        b"HTTP/1.1 200 OK\r\nno header\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
         b"HTTP/1.1 200 OK\r\n" + b"".join(b"h%d: b\r\n" % n for n in range(101)),
-        b"HTTP/1.1 200 OK\r\n" + b"a" * 8193, HEAD + b"zz\r\n", HEAD + b"-1\r\n", HEAD + b"fffffff\r\n",
-        HEAD + b"1\r\nabc\r\n", HEAD + b"\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"a" * 8193,
+        HEAD + b"zz\r\n",
+        HEAD + b"-1\r\n",
+        HEAD + b"fffffff\r\n",
+        HEAD + b"1\r\nabc\r\n",
+        HEAD + b"\r\n",
     ],
     ids=range(12),
 )
@@ -132,8 +150,10 @@
     [
         ("OK 42 1 trial 0.28 310", (at.COUNTED, (42, 1, at.ON_TRIAL, 0.28, 310_000_000))),
         ("OK 42 4 rolling_back 0 0.5", (at.COUNTED, (42, 4, at.GOING_BACK, 0.0, 500_000))),
-        ("ERR Throttling", (at.OVER_ALLOWANCE, None)), ("ERR ConditionFailed", (at.MOOT, None)),
-        ("ERR InternalFailure", (at.VOTE_ERRED, None)), ("ERR", (at.VOTE_ERRED, None)),
+        ("ERR Throttling", (at.OVER_ALLOWANCE, None)),
+        ("ERR ConditionFailed", (at.MOOT, None)),
+        ("ERR InternalFailure", (at.VOTE_ERRED, None)),
+        ("ERR", (at.VOTE_ERRED, None)),
     ],
 )
 def test_an_answer_to_a_vote_is_read(line, told):
@@ -142,8 +162,18 @@
 
 @pytest.mark.parametrize(
     "line",
-    ["", "YES", "OK", "OK 42 1 trial 0.28", "OK x 1 trial 0.28 1", "OK 42 1 odd 0.28 1",
-     "OK 42 1 trial nan 1", "OK 42 1 trial 2 1", "OK -1 1 trial 1 1", "OK 42 1 trial 1 -5"],
+    [
+        "",
+        "YES",
+        "OK",
+        "OK 42 1 trial 0.28",
+        "OK x 1 trial 0.28 1",
+        "OK 42 1 odd 0.28 1",
+        "OK 42 1 trial nan 1",
+        "OK 42 1 trial 2 1",
+        "OK -1 1 trial 1 1",
+        "OK 42 1 trial 1 -5",
+    ],
 )
 def test_an_answer_that_makes_no_sense_is_malformed(line):
     with pytest.raises(platform.Malformed):
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -200,9 +200,7 @@
     day.lose("two", 4 * world.S, 8 * world.S, silent=True)
     seconds = day.play(15)
     assert all(not gateway.wants for gateway in day.gateways)
-    assert sum(second.rejected + second.lost for second in seconds) < sum(
-        second.asked for second in seconds
-    )
+    assert sum(second.rejected + second.lost for second in seconds) < sum(second.asked for second in seconds)
     assert 0 < world.service(seconds) < 1
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -62,7 +62,10 @@
     )
     given = made.judge(asked())
     assert (given.rule.name, given.lane, given.key, given.customer) == (
-        "r1", REQUEST_CLASSES["stock"], b"42", "others"
+        "r1",
+        REQUEST_CLASSES["stock"],
+        b"42",
+        "others",
     )
     assert made.judge(asked(b"x")).lane is REQUEST_CLASSES["fitment"]
     assert rules({"when": "false"}).judge(asked()) is NOTHING
@@ -151,9 +154,7 @@
     made = rules({"when": "lookup.lane == 'reserve'", "lane": "'buy'"}, {"when": "true", "key": "'later'"})
     made.request_classes = {**REQUEST_CLASSES, "buy": REQUEST_CLASSES["fitment"]}
     errors = []
-    given = made.judge(
-        asked(lane="reserve", stamped=True), errors
-    )
+    given = made.judge(asked(lane="reserve", stamped=True), errors)
     assert [(rule.name, fault.code) for rule, fault in errors] == [("r0", "value")] and given.key == b"later"
 
 
--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -67,7 +67,10 @@
         self.works = works or (lambda id, rng: (at.SUCCEEDED, int(30 * MS * rng.lognormvariate(0, 0.3))))
         self.attempts, self.votes, self.real, self.asked = [], [], [], []
         told = dict(
-            request_classes=[request_class()], release=release(), attempts_cap=4, may_duplicate=True,
+            request_classes=[request_class()],
+            release=release(),
+            attempts_cap=4,
+            may_duplicate=True,
             may_cancel=True,
         )
         start = at.Start(now=NOW, seed=seed, **{**told, **(start or {})})
@@ -208,9 +211,6 @@
         return [NOW + n * (SECOND // 100) for n in range(len(self.asked) + 1)]
 
 
-
-
-
 def working(far=1.0, errs=0.0, end=None):
     def works(id, rng):
         took = int(30 * MS * rng.lognormvariate(0, 0.3))
--- a/tests/test_simulated_faults.py
+++ b/tests/test_simulated_faults.py
@@ -196,8 +196,8 @@
 
 
 def reads_at_once(dispatcher, host):
-    dispatcher.read = (
-        lambda now, ticket: dispatcher.done.append(lambda door: door.readable(ticket, dispatcher.state, ""))
+    dispatcher.read = lambda now, ticket: dispatcher.done.append(
+        lambda door: door.readable(ticket, dispatcher.state, "")
     )
 
 
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -222,7 +222,8 @@
             stopping=True, thread_pool=ThreadPool(), request=lambda *_: request(), gone=lambda _: None
         )
         gateway_server.weigh, gateway_server.dispatcher = (
-            lambda _: True, SimpleNamespace(request_arrived=None, TWICE=b"-")
+            lambda _: True,
+            SimpleNamespace(request_arrived=None, TWICE=b"-"),
         )
         gateway_server.counters = Counters()
         client = Client(ours, gateway_server, False)
@@ -364,7 +365,8 @@
     }
     rate = 2 * (3 + 3 * 0.6) / sum(shares[request_class] * work for request_class, work in WORK.items())
     load = (
-        "{" + ", ".join(f"{request_class}: {share * rate:.2f}" for request_class, share in shares.items())
+        "{"
+        + ", ".join(f"{request_class}: {share * rate:.2f}" for request_class, share in shares.items())
         + "}"
     )
     return re.sub(rf"(\t{starved}: .*revenue:) 2.0", r"\1 0.4", CROWD.replace("LOAD", load))
@@ -381,14 +383,15 @@
 
 
 def test_the_request_class_of_least_revenue_and_all_others_get_their_half_in_each_third_of_a_long_day(
-    starved
+    starved,
 ):
     number, ours, seer = starved
     for third in (None, 0, 1, 2):
         for request_classes in (None, *range(4)):
             assert (
                 ours.share("class", request_classes, third)
-                >= 0.5 * seer.share("class", request_classes, third) > 0.15
+                >= 0.5 * seer.share("class", request_classes, third)
+                > 0.15
             )
     assert 0.03 < sum(seer.asked["class", number, n] for n in range(3)) / sum(seer.asked.values()) * 2 < 0.07
 
@@ -441,8 +444,11 @@
 @pytest.mark.parametrize(
     "data, answered, reason, counted",
     [
-        (COMMAND, False, "made room", 1), (COMMAND[:9], False, "silent", 1), (b"", False, "silent", 0),
-        (COMMAND, True, "rest", 0), (COMMAND, False, "client closed", 0),
+        (COMMAND, False, "made room", 1),
+        (COMMAND[:9], False, "silent", 1),
+        (b"", False, "silent", 0),
+        (COMMAND, True, "rest", 0),
+        (COMMAND, False, "client closed", 0),
     ],
 )
 def test_the_gateway_counts_new_connections_that_it_ends_in_vain(ended, data, answered, reason, counted):
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -110,9 +110,14 @@
     """Out of reach: as of now, for nothing counts until it can be reached. Too many callers: as before. A
     watch that ended: as of its end. After a move: two seconds more are gone."""
     for reason, watched, age in (
-        ("refused", False, 0), ("unreachable", False, 0), ("unavailable", False, 7000),
+        ("refused", False, 0),
+        ("unreachable", False, 0),
+        ("unavailable", False, 7000),
         ("silent", False, 7000),
-        ("reset", False, 7000), ("closed", True, 0), ("reset", True, 0), ("silent", True, 7000),
+        ("reset", False, 7000),
+        ("closed", True, 0),
+        ("reset", True, 0),
+        ("silent", True, 7000),
         ("moved", True, 7000),
     ):
         made, _, _ = driver()
@@ -172,8 +177,14 @@
 
     def start(self, number, first):
         start = at.Start(
-            now=self.now, seed=number * 31 + first, me=number, attempts_cap=2, connect_time=250 * MS,
-            idle_time=15_000 * MS, request_classes=[request_class()], **{**TOLD, "balancers": self.size},
+            now=self.now,
+            seed=number * 31 + first,
+            me=number,
+            attempts_cap=2,
+            connect_time=250 * MS,
+            idle_time=15_000 * MS,
+            request_classes=[request_class()],
+            **{**TOLD, "balancers": self.size},
         )
         gateway = self.gateways[number] = SimpleNamespace(
             number=number, made=self.kind(start), up=True, pools={}, pause_until=0, calls=False
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -44,9 +44,6 @@
         assert all_.counts()["right"] > 200
 
 
-
-
-
 def test_a_drain_waits_for_a_gateway_that_hears_nothing_until_its_lease_ran_out(tmp_path):
     with Installation(tmp_path, LOUIS, nodes=3) as all_:
         all_.declare()
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -257,7 +257,12 @@
     thread.join(20)
     assert reports == ["drained", "catching_up", "serving"] and send(address)
     assert [state for _, state in node.states] == [
-        "serving", "clearing", "drained", "down", "catching_up", "serving",
+        "serving",
+        "clearing",
+        "drained",
+        "down",
+        "catching_up",
+        "serving",
     ]
 
 
