--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -10,11 +10,10 @@
 from math import inf
 from statistics import median
 
-from .interface import (
-    BACK, CANCELLED, COUNTED, DEDUPLICATED, ERRED, HOLD, IDEMPOTENT, NEVER_RAN, NON_IDEMPOTENT, ON, ON_TRIAL,
-    OVER_ALLOWANCE, READY, REJECTED, RELEASED, RESET, SPOILT, SUCCEEDED, TIMED_OUT, UNCONNECTED, UNFIT,
-    Attempt,
-)
+from .interface import BACK, COUNTED, HOLD, ON, OVER_ALLOWANCE
+from .interface import CANCELLED, ERRED, NEVER_RAN, REJECTED, RESET, SPOILT, SUCCEEDED, TIMED_OUT
+from .interface import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, UNCONNECTED, UNFIT, Attempt
+from .interface import ON_TRIAL, READY, RELEASED
 from .members import Members
 from .odds import chance, smoothed
 from .records import Builds, Group, Member, Wakes, recent
@@ -135,10 +134,13 @@
         self.rescues = min(self.rescues + RESCUES * (1 - self.pace * self.blind), 20.0)
         if self.trial is not None:
             # For like load: machines on trial are due as much as earlier ones, by what they can do.
-            self.share = self.members.share(
-                self.trial, lambda m: self.able(m, now) / (m.group.slowness or 1.0),
-                lambda m: (m.group, m.started if self.warmth(m, now) < 1 else 0), now // STALE,
-            )
+            def rate(m):
+                return self.able(m, now) / (m.group.slowness or 1.0)
+
+            def sort(m):
+                return m.group, m.started if self.warmth(m, now) < 1 else 0
+
+            self.share = self.members.share(self.trial, rate, sort, now // STALE)
             self.trial.credit = min(self.trial.credit + self.share, 2.0)
         self.due.append(request)
 
@@ -438,7 +440,7 @@
             sent = [member.build.sent.setdefault(counted, deque()) for counted in self.counts_of(request)]
             for times in [times for times in sent if attempt.counted in times]:
                 times.remove(attempt.counted)
-            if (fit := self.exposure_left(member.build, request, now)):
+            if fit := self.exposure_left(member.build, request, now):
                 attempt.counted = now
                 for times in sent:
                     times.append(now)
