Requests that lay unread end in their own time: it counts from when their bytes came

Cause: Client.take read the clock once the command was read. While new connections wait to be accepted, or threads for their turn, a request's bytes lie unread; the deadline was late by as long, the client gone by then. Ruled out by the probe's log: late answers of ours (all others came within 2 ms of their deadline), connections ended under a request (no reason set, nothing unsent), the timer. Change: the arrival counts back by the time since the last data came, which the kernel tells (gateway/sockets.py).

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -5,7 +5,6 @@
 import re
 import select
 import socket
-import struct
 import threading
 import time
 import traceback
@@ -15,6 +14,7 @@
 from ..told import in_ns
 from . import resp
 from .config import now
+from .sockets import hung_up, seconds, unread_for
 
 MOST_ASKS, MOST_UNSENT = 64, 1 << 18  # unanswered commands, unsent bytes; past them no more is read
 SLOWEST = 5  # seconds for which a client may take none of its answers
@@ -143,7 +143,8 @@
             self.weight = size
 
     def take(self, words):
-        arrived, name = now(), words[0].upper()
+        # Its client counts from when it sent it, so its time goes on while it waits to be accepted or read.
+        arrived, name = now() - unread_for(self.sock), words[0].upper()
         self.asked = True
         if name == b"PING":
             return self.put(Ask(self, (), b"+PONG\r\n"))
@@ -322,19 +323,6 @@
         self.server.gone(self)
 
 
-def hung_up(sock, sign=select.POLLRDHUP):
-    """Whether the other side has ended its connection; unlike by `recv`, also where unread bytes lie before
-    the end. A reset shows whatever the sign."""
-    ends = select.poll()
-    ends.register(sock, sign)
-    return bool(ends.poll(0))
-
-
-def seconds(length):
-    """A time limit as a socket takes it."""
-    return struct.pack("ll", int(length), int(length % 1 * 1e6))
-
-
 class Server:
     """Listens, and keeps the clients' connections within their bound."""
 
