A released build that is found bad serves until others may take its load

Cause: Balancer.usable left out the machines of a bad build by the share that is due the one on trial, also where the bad one is not on trial but released; with the next on trial at a cap of 8 to 25 in 100 the rest could go nowhere. Ruled out: stale lists (the watch stood), the gateway's processor (0.3 of a core as it began). Change: left_out(): a bad build that is not on trial is left out only where the others, each within its cap, have as many machines.

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -26,14 +26,12 @@
 USUAL = 6  # an unhinted request's work goes so often into its objective
 LOOKS, FLAGS = 8, 3  # looks at thin evidence a trial; wrong answers that send back, at twice the usual rate
 PACE_AGE = 2000 * MS  # rarer answers count for more; one after so long a silence counts whole
-STEEP = 2  # shed by so many times what is past the next
 LEAST = 0.5  # of the mean revenue: none is shed by less, so that it is let in half as often as at the mean
-EASY = 0.45  # the share of its objective that a request may take on average before some are rejected
+EASY, STEEP = 0.45, 2  # the share of its objective that a request may take; shed by so many times the rest
 OVERDUE = 2.5  # times what its work usually takes; one answer in twenty or thirty is later
 LOST = 4  # a zone and kind costs so much more when all that was sent there of late was lost on the way
 RESCUES = 0.1  # second copies (or retries of what is slow) a request taken, so that a jam is not fed
-NEAR = 24  # instances that a balancer keeps to, or as many as it sends to eight times before an unused
-# connection closes: its own stretch of a ring of all; past them only if none of them is fit
+NEAR = 24  # instances that a balancer keeps to, more if it can use them often: its stretch of a ring of all
 GOLDEN = 0.618034  # stretches that start at the multiples of this, modulo 1, cover the ring evenly
 HEED, ANEW, QUIET = 500 * MS, 2000 * MS, 8  # before news count as told; how long a list of unknown age holds
 STALE, WAITS = 5000 * MS, 8  # what is so old counts half; outcomes that show a class or tenant to wait
@@ -49,7 +47,7 @@
         self.across = 1 + start.prices.get("CrossZone", 0.0)
         self.may_duplicate, self.may_cancel = start.may_duplicate, start.may_cancel
         self.attempts_cap, self.retry_after_cap = start.attempts_cap, start.retry_after_cap
-        self.connect_time, self.spare = start.connect_time, 2 * start.step
+        self.connect_time, self.spare, self.ask_within = start.connect_time, 2 * start.step, start.ask_within
         self.cold_time, self.cold_share = start.cold_time, max(start.cold_share, 0.01)
         self.cold_room = max(1 - 1 / max(start.cold_multiple, 0.1), 0.1)  # of its share; for bursts and luck
         self.mean_revenue = sum(class_.revenue for class_ in classes) / max(len(classes), 1) or 1.0
@@ -84,7 +82,6 @@
         spread = min(25 * MS * (balancers - 1), 2000 * MS, start.ask_within // 2 or 2000 * MS)
         first = start.now + int(self.rng.random() * spread)
         self.next_tick, self.ask_at = start.now, first if start.ask_for_list else None
-        self.ask_within = start.ask_within
         # After so long what was not heard counts as told; as of when the list in hand holds all there is.
         self.unheard, self.current = start.unheard_time - HEED if start.unheard_time else inf, -inf
         self.pair_at, self.pair = None, {}  # the pair now open: its start, its outcomes by (on trial, class)
@@ -393,14 +390,20 @@
         return time / self.warmth(member, now) + max(member.rested_at - now, 0)
 
     def usable(self, member, request, now):
-        barred = member.held >= member.limit * self.mean_work or now < member.shunned_until
         class_ = request.request_class
-        spoilt = member.build.bad and (class_.effect != IDEMPOTENT or self.share < 0.5)
-        if barred or spoilt or member.strikes >= 1 and (member.out or class_.effect == NON_IDEMPOTENT):
+        barred = member.held >= member.limit * self.mean_work or now < member.shunned_until
+        tested = member.strikes >= 1 and (member.out or class_.effect == NON_IDEMPOTENT)
+        if barred or tested or self.left_out(member.build, class_):
             return False
         quiet = now - member.heard_at if member.out else 0  # below the floor, `rescue` goes by the aim alone
         return quiet <= max(4 * (member.group.slowness or 2.0) * self.class_work[class_.number], 300 * MS)
 
+    def left_out(self, build, class_):  # a bad build; one not on trial any more serves until others may
+        if not build.bad or self.on_trial(build):
+            return build.bad and (class_.effect != IDEMPOTENT or self.share < 0.5)
+        rooms = [len(b.ring) * (b.cap if self.on_trial(b) else 1) for b in self.builds.values() if not b.bad]
+        return sum(rooms) >= len(build.ring)
+
     def may_attempt(self, request, member, now):
         """The rules. Every attempt passes here, whatever asked for it."""
         spent = now >= request.deadline or len(request.attempts) >= self.attempts_cap
@@ -417,9 +420,8 @@
                 return False
         if (can := self.able(member, now)) < 1 and (self.work_in - member.cold_from) * can < member.cold_due:
             return False
-        if self.goes_back(request, member):
-            return False
-        return not self.on_trial(member.build) or self.exposure_left(member.build, request, now)
+        fit = not self.goes_back(request, member)
+        return fit and (not self.on_trial(member.build) or self.exposure_left(member.build, request, now))
 
     def listed_still(self, member, now):
         """Guards against drains that discovery could not tell us in time: what has served on connections that
@@ -505,9 +507,8 @@
         on, warmth = member.build is self.judged, self.warmth(member, now)
         # Like against like: the same kinds of machine, and no cold ones on the earlier side.
         if (not self.like or member.kind in self.like) and (on or warmth == 1):
-            side = self.pair.setdefault((on, request.request_class.number), [])
-            self.news = True
-            side.append((took * warmth / max(request.work, 1), end == ERRED, member))
+            self.news, outcome = True, (took * warmth / max(request.work, 1), end == ERRED, member)
+            self.pair.setdefault((on, request.request_class.number), []).append(outcome)
 
     def tick(self, now):
         self.next_tick, self.look = now + TICK, True
