A request that lay unread for half its time is rejected at once

Symptom: past what it can serve a gateway serves late or not at all in place of refusing (benchmarks/overload.py, open loop, 1,200 connections, clients that wait 1 s, four cores): offered 1,800 a second, in time 803, 1,288, 894; at 3,000 in time 1,054, 416, 511, of 1,213 and more that it serves at 1,200. Cause: what comes is read in its order. Change: gateway/admission.py decides, by what the kernel tells of the time unread, that such a request is rejected. The new test fails without it.

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -13,6 +13,7 @@
 from .. import interface as at
 from ..told import in_ns
 from . import resp
+from .admission import is_stale
 from .config import now
 from .sockets import hung_up, seconds, unread_for
 
@@ -144,7 +145,8 @@
 
     def take(self, words):
         # Its client counts from when it sent it, so its time goes on while it waits to be accepted or read.
-        arrived, name = now() - unread_for(self.sock), words[0].upper()
+        unread = unread_for(self.sock)
+        arrived, name = now() - unread, words[0].upper()
         self.asked = True
         if name == b"PING":
             return self.put(Ask(self, (), b"+PONG\r\n"))
@@ -157,6 +159,9 @@
         ask, size = Ask(self, words, None, request), sum(map(len, words))
         self.put(ask)
         dispatcher, turned_away = self.server.dispatcher, self.extra and self.server.crowded()
+        if is_stale(unread, request.deadline - arrived):
+            turned_away = True
+            self.server.counters.add("stale requests")
         if size > LARGE and self.server.weigh(size):
             ask.weight = size
         elif size > LARGE:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -20,7 +20,7 @@
 from lemonlead.standins.instances import InstanceServer
 from lemonlead.standins.server import until
 
-WAIT, HELD = 3.0, 2.0  # seconds that a client waits, and for which the gateway reads nothing of them
+WAIT, HELD = 4.0, 1.5  # seconds that a client waits, and for which the gateway reads nothing
 
 
 def hold(process):
@@ -38,7 +38,7 @@
 @pytest.mark.parametrize("connection", ["new", "standing"])
 def test_the_time_that_a_request_lay_unread_is_its_own(tmp_path, connection):
     never = threading.Event()
-    server = InstanceServer(lambda words: never.wait(60) or None).start()
+    server = InstanceServer(lambda words: never.wait(60) and None).start()
     with fleet.gateway(tmp_path, server) as ran:
         client = ran.client() if connection == "standing" else None
         if client:
@@ -66,6 +66,26 @@
         assert server.got == []
 
 
+def test_a_request_that_lay_unread_for_most_of_its_time_is_rejected_at_once(tmp_path):
+    """Seen in `python -m benchmarks.overload` at 1,800 and 3,000 requests a second: once the accept queue
+    held a second of work, each request in it was read in its turn and served just too late ("late" 500 to
+    1,000 a second, in time 400 to 1,300 where 1,800 were served before)."""
+    never = threading.Event()
+    server = InstanceServer(lambda words: never.wait(60) and None).start()
+    with fleet.gateway(tmp_path, server) as ran:
+        hold(ran.process)
+        client, sent = ran.client(), time.monotonic()
+        client.ask(wait=60_000)
+        client.ask(wait=2_000)
+        held_until(ran.process, sent + HELD)
+        # the first one is sent on
+        until(lambda: ran.counters().get("stale_requests") == 1)
+        assert ran.counters()["rejected"] == 1
+        until(lambda: server.got)
+        never.set()
+        assert [words[3].split(b"d=")[1][:2] for words in server.got[:1]] == [b"58"]
+
+
 def test_a_request_that_is_read_at_once_has_all_its_time(tmp_path):
     server = InstanceServer().start()
     with fleet.gateway(tmp_path, server) as ran:
