Threads that wait for the interpreter keep their turn: a switch interval of 50 ms

Cause: a waiting thread gives up its place each 5 ms (the interpreter's default), asks for a switch and queues anew. Where many wait, turns go by luck: requests on one connection take 40 ms, on another 900, and the listener, which needs several turns for each connection, hardly gets any. Ruled out: starting a thread waits for it to run (_thread.start_new_thread in its place: 499 and 1,272 at 1,800). Change: sys.setswitchinterval(0.05).

--- a/lemonlead/gateway/__main__.py
+++ b/lemonlead/gateway/__main__.py
@@ -19,6 +19,9 @@
 from .thread_pool import ThreadPool
 
 STACK = 256 * 1024
+# Seconds after which a thread that waits for the interpreter has it taken from another. One whose turn has
+# not come by then goes to the end of the queue; no thread of ours computes so long between two system calls.
+SWITCH_INTERVAL = 0.05
 FIRST_LIST = 2.0  # seconds for which the first list is waited for at most, where lists are pushed
 TAKEN = 5.0  # seconds for which our address is waited for, while a process before us still listens there
 LINGER = 0.5  # seconds after SIGTERM in which connections still come
@@ -34,6 +37,7 @@
 def main():
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     threading.stack_size(STACK)
+    sys.setswitchinterval(SWITCH_INTERVAL)
     try:
         config = configs.read()
     except configs.Unfit as error:
