Tests that fail: a client's end in order is not seen once we began to end its connection

Seen: listed open in docs/crossings.md and on the roadmap; forced here: the request comes as we end its connection, then its client goes. With a reset it is seen, with an end in order it is sent on for nobody.

--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -452,6 +452,40 @@
     assert left_at_once(waiting, 1)
 
 
+def test_the_end_in_order_shows_though_we_had_begun_to_end_the_connection_as_its_request_came(waiting):
+    """A client writes as we end its connection at rest, and goes. Past our own SHUT_RD poll tells of a reset
+    alone, so that what it asked was sent on for nobody, once for each such connection. The state of the
+    connection in TCP_INFO still tells of its end."""
+    client = waiting.client()
+    ours = waiting.ours(client)
+    paused = Paused(ours)
+    ours.leave("made room")
+    client.ask(wait=400_000)
+    paused.come()
+    paused.go.set()
+    until(lambda: waiting.count("taken") and ours.room._waiters)  # its thread waits for the answer
+    client.sock.close()
+    assert left_at_once(waiting, 1)
+
+
+@ENDS
+def test_what_a_client_asked_and_left_as_we_ended_its_connection_is_not_sent(tmp_path, end):
+    """The same, where its end has come before what it asked is read."""
+    server = InstanceServer().start()
+    with gateway(tmp_path, server) as ran:
+        client = ran.client()
+        ours = ran.ours(client)
+        paused = Paused(ours)
+        ours.leave("made room")
+        client.ask(b"left")
+        paused.come()
+        end(client)
+        paused.go.set()
+        until(lambda: ours not in ran.gateway_server.clients)
+        assert ran.client().ask(b"other").read() == b"other"
+        assert [words[1] for words in server.got] == [b"other"]
+
+
 @pytest.mark.parametrize("reason", ["made room", "stopping"])
 def test_what_comes_after_we_ask_to_end_an_idle_connection_is_answered(tmp_path, reason):
     with gateway(tmp_path, InstanceServer().start()) as ran:
