--- a/lemonlead/gateway/admission.py
+++ b/lemonlead/gateway/admission.py
@@ -8,4 +8,4 @@
 
 def is_stale(unread, wait):
     """Whether a request that lay unread for so long, of so long a wait, is rejected at once."""
-    return unread >= MOST_UNREAD * wait
+    return unread > MOST_UNREAD * wait
