A client's end in order is seen once we began to end its connection

Symptom: a request that comes as its connection is ended, and whose client then goes, is sent on for nobody. Cause: Client.gone looked by poll without POLLRDHUP once `reason` was set, as our own SHUT_RD looks the same to poll. Change: past our SHUT_RD the kernel's state of the connection counts (TCP_INFO: CLOSE_WAIT, CLOSE). Where the kernel does not tell, a reset shows, as before.

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -3,7 +3,6 @@
 import contextlib
 import math
 import re
-import select
 import socket
 import threading
 import time
@@ -159,7 +158,7 @@
         ask, size = Ask(self, words, None, request), sum(map(len, words))
         self.put(ask)
         dispatcher, turned_away = self.server.dispatcher, self.extra and self.server.crowded()
-        if is_stale(unread, request.deadline - arrived):
+        if is_stale(unread, request.deadline - request.arrived):
             turned_away = True
             self.server.counters.add("stale requests")
         if size > LARGE and self.server.weigh(size):
@@ -182,7 +181,7 @@
     def wait(self, ready, length=math.inf):
         """Waits, with `room` held, until it is ready or the connection broken, for so many seconds at most.
         Guards against a client that goes while its thread reads nothing more: then its end shows here alone,
-        and what it asked would still be sent on. Past our own SHUT_RD only a reset shows."""
+        and what it asked would still be sent on."""
         until = time.monotonic() + length
         while not (self.broken or ready()) and (left := until - time.monotonic()) > 0:
             self.room.wait(min(left, GLANCE))
@@ -190,9 +189,8 @@
                 self.end(LEFT)
 
     def gone(self):
-        """Whether its client has gone, as far as can be seen. With `room` held: our own SHUT_RD looks like
-        its end, so that past it only a reset shows."""
-        return hung_up(self.sock, 0 if self.reason else select.POLLRDHUP)
+        """Whether its client has gone, as far as can be seen. With `room` held, as our own SHUT_RD counts."""
+        return hung_up(self.sock, read_side_ended=bool(self.reason))
 
     def put(self, ask):
         """Queues a command once there is room; OSError where its client can get no answer any more."""
--- a/lemonlead/gateway/sockets.py
+++ b/lemonlead/gateway/sockets.py
@@ -8,27 +8,42 @@
 # Linux's `struct tcp_info`: where it has the milliseconds since the last data came, and its length with it.
 # They are counted in ticks of its timer, of ten milliseconds at most.
 LAST_DATA_RECEIVED, INFO_LENGTH = 52, 56
+STATE, CLOSE, CLOSE_WAIT = (
+    0,
+    7,
+    8,
+)  # where its state is: the connection is closed; the other side has ended it
 COARSEST_TICK_MS = 10
 NS_PER_MS = 1_000_000
 
 
+def connection_info(sock):
+    """The kernel's `struct tcp_info` as bytes; empty where it does not tell."""
+    with contextlib.suppress(OSError):
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_LENGTH)
+        return info if len(info) == INFO_LENGTH else b""
+    return b""
+
+
 def unread_for(sock):
     """Nanoseconds for which what was read last had lain unread, as far as is known: 0 where the system does
     not tell, or where it is less than its clock can tell apart. Never more than it was."""
-    with contextlib.suppress(OSError):
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_LENGTH)
-        if len(info) >= INFO_LENGTH:
-            (since_data_ms,) = struct.unpack_from("=I", info, LAST_DATA_RECEIVED)
-            return max(since_data_ms - COARSEST_TICK_MS, 0) * NS_PER_MS
-    return 0
+    if not (info := connection_info(sock)):
+        return 0
+    (since_data_ms,) = struct.unpack_from("=I", info, LAST_DATA_RECEIVED)
+    return max(since_data_ms - COARSEST_TICK_MS, 0) * NS_PER_MS
 
 
-def hung_up(sock, sign=select.POLLRDHUP):
+def hung_up(sock, read_side_ended=False):
     """Whether the other side has ended its connection; unlike by `recv`, also where unread bytes lie before
-    the end. A reset shows whatever the sign."""
+    the end. Once we ended our reading side, which looks the same to `poll`, a reset shows all the same, an
+    end in order where the kernel tells of a connection's state."""
     ends = select.poll()
-    ends.register(sock, sign)
-    return bool(ends.poll(0))
+    ends.register(sock, 0 if read_side_ended else select.POLLRDHUP)
+    if ends.poll(0):
+        return True
+    info = connection_info(sock) if read_side_ended else b""
+    return bool(info) and info[STATE] in (CLOSE, CLOSE_WAIT)
 
 
 def seconds(length):
