At the bound the listener looks over all clients ten times a second, not for each connection

Cause: Server.made_room copied and went over all clients, twice, for each connection that came at the bound. Change: those that may make room are found once and used one after the other, each looked at again before it is; all are looked at anew once none is left, or after 0.1 s.

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -340,6 +340,7 @@
         self.most, self.stopping, self.closing = config.connections // 2, False, False
         self.closed = threading.Event()
         self.clients, self.room = set(), threading.Condition()
+        self.resting, self.resting_until = deque(), 0.0  # clients that may make room, as of not long ago
         self.held, self.most_held = 0, config.memory // 8  # bytes of large commands, of all clients
         self.sorting = None  # rules over requests, where they are switched on
         self.listener = socket.socket()
@@ -411,23 +412,33 @@
     def made_room(self):
         """Whether there is room within the bound; past the extra clients it waits until one is gone. Those
         that never asked, or ask what makes no sense, make room before the usual ones."""
-        while len(self.clients) >= self.most:
-            with self.room:
-                clients = list(self.clients)
-            full, moment = len(clients) >= self.most + EXTRA, time.monotonic()
-            rest = HARDLY_USED if full else UNUSED
-            idle = [client for client in clients if client.doubtful() and client.since < moment - MUTE]
-            idle = [client for client in idle if client.idle()] or [
-                client for client in clients if client.since < moment - rest and client.idle()
-            ]
-            if idle:
-                min(idle, key=lambda client: client.since).leave("made room")
+        while (count := len(self.clients)) >= self.most:
+            full = count >= self.most + EXTRA
+            if client := self.longest_idle(HARDLY_USED if full else UNUSED):
+                client.leave("made room")
             if not full:
-                return bool(idle)
+                return client is not None
             with self.room:
                 self.room.wait(HARDLY_USED)
         return True
 
+    def longest_idle(self, rest):
+        """The client that is to make room, if one has had no request for so many seconds. All are looked at
+        only once those found before are used up, or were found too long ago."""
+        moment = time.monotonic()
+        if not self.resting or moment > self.resting_until:
+            with self.room:
+                clients = list(self.clients)
+            idle = [client for client in clients if client.idle()]
+            idle.sort(key=lambda client: (not client.doubtful(), client.since))
+            self.resting, self.resting_until = deque(idle), moment + MUTE
+        while self.resting:
+            client = self.resting.popleft()
+            length = MUTE if client.doubtful() else rest
+            if client.since < moment - length and client.idle():
+                return client
+        return None
+
     def crowded(self):
         """Whether more clients than the bound wait for answers. Guards against places held for nothing: those
         that say nothing must not have requests past the bound rejected."""
