A relay of another cluster takes no gateway over while its own relays cannot be reached

Cause: Subscriber counted relays that it had asked in vain (`tried`) as if they had told that its own cluster is gone. Change: at least half of all relays have to tell of the other cluster since its own was last heard, as well as all have been asked. Relays that cannot be reached tell nothing.

--- a/lemonlead/distribution/subscriber.py
+++ b/lemonlead/distribution/subscriber.py
@@ -2,8 +2,10 @@
 
 Nothing goes back: a change counts only if it is newer than what the gateway has of its key, which includes
 what was removed or refused, and an index up to which the scope is complete. The state of another cluster
-counts scope by scope, once it was told whole, and only if no relay that could be asked since tells of its
-own cluster: a stray one alone takes no gateway with it. One that was left for another counts no more.
+counts scope by scope, once it was told whole, and only where no relay that was asked since tells of its own
+cluster and at least half of all relays tell of the other: those that can't be reached tell nothing, so that a
+stray one alone takes no gateway with it, where there are more than two. One that was left for another counts
+no more.
 
 Relays of its own region are tried first, then others in an order drawn by chance. Each wait is drawn by
 chance too, the first one included, so that gateways that start, or lose their relay, at one moment do not
@@ -80,7 +82,8 @@
         self.refused = {}  # (scope, key): (index, why)
         self.before = {}  # of the last line, (scope, key): its index, (index, record) before it or None
         self.order, self.relay, self.length = [], None, SHORTEST
-        self.tried = set()  # relays asked since its own cluster was last heard
+        # Since its own cluster was last heard: relays asked; relay: the other cluster that it told of.
+        self.tried, self.others = set(), {}
         self.not_before, self.heard_at, self.reason = None, None, ""
         self.home_at, self.home = NEVER, HOME
         self.unsaid, self.saying, self.say_at, self.beat_at = set(), set(), 0, 0
@@ -293,7 +296,7 @@
                 raise Unreadable(f"cluster {shown(line.cluster)}")
             if line.cluster in self.gone:
                 raise Unreadable(f"cluster {line.cluster} was left for {self.cluster}")
-            if self.cluster not in ("", line.cluster) and len(self.tried) < len(set(self.relays)):
+            if self.cluster not in ("", line.cluster) and not self.left_for(line.cluster):
                 raise Unreadable(f"cluster {line.cluster}, not {self.cluster}; others are asked first")
         elif self.teller is None:
             raise Unreadable("a line before the one that names the cluster")
@@ -317,7 +320,13 @@
         if not self.cluster:
             self.cluster = cluster
         if self.cluster == cluster:
-            self.tried = set()
+            self.tried, self.others = set(), {}
+
+    def left_for(self, cluster):
+        """Whether its own cluster is left for this one, of which the relay that it asked tells."""
+        self.others[self.relay] = cluster
+        relays, telling = set(self.relays), [told for told in self.others.values() if told == cluster]
+        return len(self.tried) == len(relays) and 2 * len(telling) >= len(relays)
 
     def is_foreign(self, scope):
         """Whether what is in force of it is another cluster's than what is told."""
