An attempt's time is its instance's alone, without what it waited for the gateway

Cause: Dispatcher.attempt_ended told the balancer all the time from the decision to the lock: with it the wait for a thread, for the interpreter, and that of the answer unread. The balancer shed, and cut the instances' limits, by it. Change: Instances.carry tells what an attempt took from when a thread took it up, less what its answer lay unread.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -227,6 +227,9 @@
     ):
         servers = [SimpleNamespace(address=address, close=lambda: None) for address in addresses]
         with fleet.gateway(Path(folder), *servers) as ran:
+            if asked.core is not None:
+                for task in Path(f"/proc/{ran.process.pid}/task").iterdir():
+                    os.sched_setaffinity(int(task.name), {asked.core})
             most = asked.connections // asked.processes
             loads = Clients(asked.processes, ran.port, asked.wait / 1e3, most)
             found = []
@@ -248,6 +251,9 @@
     words.add_argument("--processes", type=int, default=3, help="that play clients")
     words.add_argument("--instances", type=int, default=20)
     words.add_argument("--work", type=float, default=10, help="milliseconds an instance takes")
+    words.add_argument(
+        "--core", type=int, help="the one core on which the gateway runs, as where it is deployed"
+    )
     words.add_argument("--seed", type=int, default=1)
     words.add_argument("--json", type=Path, metavar="FILE", help="write the figures there as well")
     asked = words.parse_args()
--- a/lemonlead/gateway/dispatcher.py
+++ b/lemonlead/gateway/dispatcher.py
@@ -121,9 +121,9 @@
         self.counters.add(f"attempts {end}")
         if self.service is not None:
             self.service.ended(moment, attempt, end)
-        self.balancer.attempt_ended(
-            moment, attempt, end, moment - attempt.at, attempt.request not in self.asks, {}
-        )
+        took = moment - attempt.at if attempt.took is None else attempt.took
+        over = attempt.request not in self.asks
+        self.balancer.attempt_ended(moment, attempt, end, took, over, {})
 
     def stage_told(self, moment, *news):
         """The platform's news of the newest build."""
--- a/lemonlead/gateway/instances.py
+++ b/lemonlead/gateway/instances.py
@@ -11,12 +11,19 @@
 from ..told import NS
 from . import resp
 from .config import now
+from .sockets import unread_for
 
 IDLE_SHARE = 0.9  # an unused connection is closed after this part of the time told, before the instance does
 # A connection is not used again for so long after its last answer: a second one may come milliseconds late,
 # and one that came between the last look and the next answer would be taken for that. It costs a request
 # that finds no other so much time; a new connection would cost the instance more.
 SETTLE = 10 * NS
+ANSWERED = (
+    at.SUCCEEDED,
+    at.ERRED,
+    at.REJECTED,
+    at.UNFIT,
+)  # the endings of attempts that brought a whole answer
 
 
 class Connection:
@@ -184,11 +191,16 @@
                 trip.connection.sock.shutdown(socket.SHUT_RDWR)
 
     def carry(self, trip):
+        """Neither the time until a thread took it up nor that for which its answer lay unread counts as its
+        instance's: short of its own processor, a gateway would take all instances for slow."""
+        taken_up = now()
         try:
             end, value = self.outcome(trip)
         except Exception:  # an attempt always ends, and what may have run is never said not to have
             self.dispatcher.fault(traceback.format_exc())
             end, value = (at.RESET if trip.begun else at.UNCONNECTED), None
+        unread = unread_for(trip.connection.sock) if end in ANSWERED else 0
+        trip.attempt.took = max(now() - taken_up - unread, 0)
         self.over(trip, end, value)
 
     def over(self, trip, end, value):
--- a/lemonlead/interface.py
+++ b/lemonlead/interface.py
@@ -121,6 +121,8 @@
     # Told by the host as it begins and as it ends: from when the next one at its instance finds an unused
     # connection that may be used. 0: at once, or there is none.
     rested_at: int = 0
+    # Told by the host as it ends: what it took, without what it waited for the host; None: not told.
+    took: int | None = None
 
 
 @dataclass(slots=True, eq=False)
