--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -114,7 +114,7 @@
 ):
     """Seen on `disco+rate`, seed 87, on the 0.7 of a core that it gives: the gateway at its limit of
     processor time took its own delays for its instances' ("pace" 0.3 to 1.3 of the latency objective, 11
-    attempts for 100 requests, instances idle), rejected four in ten, and had them again at once as repeats."""
+    attempts for 100 requests, instances idle), rejected four in ten, and had them again at once."""
     carry, read, told = instances.Instances.carry, instances.Connection.read, []
 
     def late_carry(self, trip):
