--- a/tests/test_distribution_programs.py
+++ b/tests/test_distribution_programs.py
@@ -316,6 +316,20 @@
                 assert len(new.values) == 500
 
 
+def test_a_gateway_that_its_relay_has_forgotten_subscribes_anew():
+    """Its relay drops it while its stream stands, as it does with one that was silent for too long. Before, it
+    was told 404 to all that it acknowledged and went on, so that nobody knew any more what it had in force."""
+    with LocalRelay() as relay:
+        relay.replace("c1", 5, snapshot(5))
+        relay.later(60 * 10**9)
+        with Subscribing("g0", "north", ["svc-1"], [("r1", "north", relay.address)]) as one:
+            until(lambda: relay.ask("GET", force("svc-1", 5))[1]["counted"] == 1, "it counts")
+            relay.do(relay.relay.acknowledged.drop, "g0")
+            until(lambda: relay.ask("GET", force("svc-1", 5))[1]["counted"] == 1, "it counts again")
+            until(lambda: relay.ask("GET", force("svc-1", 5))[1]["everywhere"], "in force")
+            assert one.subscriber.counts["streams"] == 2
+
+
 @contextlib.contextmanager
 def raw(relay, gateway, room=4096):
     """A socket that has asked for svc-1 and reads nothing unless the test does."""
