A gateway that its relay has forgotten subscribes anew

Symptom: a gateway that a relay dropped while its stream stood is told 404 to all it acknowledges and goes on; `force` never counts it again. Cause: Driver.acknowledge treated 404 as any acknowledgement that was not taken. Change: 404 ends the stream; the subscriber then asks the next relay after its drawn pause, as after any end.

--- a/lemonlead/distribution/driver.py
+++ b/lemonlead/distribution/driver.py
@@ -18,6 +18,7 @@
 SILENCE = 4.5  # seconds without a whole line after which a stream is dead; a sign of life comes every 2 s
 ANSWERS = 2.0  # seconds for what a relay says to an acknowledgement
 LEAVING = 1.0  # seconds for the thread to end
+UNKNOWN = "status 404"  # the answer of a relay that does not know who acknowledges
 
 
 def subscriber(told, name):
@@ -118,7 +119,8 @@
             else:
                 heard = time.monotonic()
                 self.told(line)
-            self.acknowledge()
+            if self.acknowledge() == UNKNOWN:
+                return "forgotten by the relay"
             if self.onward is not None:
                 return "left for another"
         return "stopped"
@@ -160,15 +162,17 @@
             self.subscriber.refuse(scope, key, index, says)
 
     def acknowledge(self):
+        """Acknowledges what it is time to; why that was not taken, or an empty string."""
         ask = self.subscriber.next(now())
-        if isinstance(ask, Acknowledge):
-            reason = self.guarded(self.tell, ask)
-            if reason:
-                self.counters.add("relay acknowledgements failed")
-                self.close_beside()
-            self.subscriber.acknowledged(now(), not reason)
-        else:
+        if not isinstance(ask, Acknowledge):
             self.onward = ask
+            return ""
+        reason = self.guarded(self.tell, ask)
+        if reason:
+            self.counters.add("relay acknowledgements failed")
+            self.close_beside()
+        self.subscriber.acknowledged(now(), not reason)
+        return reason
 
     def tell(self, ask):
         """One acknowledgement; why it was not taken, or an empty string. A connection kept from before may
