--- a/tests/test_distribution_programs.py
+++ b/tests/test_distribution_programs.py
@@ -318,7 +318,7 @@
 
 def test_a_gateway_that_its_relay_has_forgotten_subscribes_anew():
     """Its relay drops it while its stream stands, as it does with one that was silent for too long. Before,
-    it was told 404 to all that it acknowledged and went on, and what it had in force was not known any more."""
+    it was told 404 to all that it acknowledged and went on: what it had in force was known no more."""
     with LocalRelay() as relay:
         relay.replace("c1", 5, snapshot(5))
         relay.later(60 * 10**9)
