--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -175,8 +175,15 @@
 
     def play(self, rate, seconds, seed):
         """What became of the requests of one rate, over all processes."""
+        self.start(rate, seconds, seed)
+        return self.result()
+
+    def start(self, rate, seconds, seed):
         for number, pipe in enumerate(self.pipes):
             pipe.send((rate / len(self.pipes), seconds, f"{seed} {rate} {number}"))
+
+    def result(self):
+        """Waits for the end; what became of each, the share in time by half seconds, the histograms."""
         counts, slices = Counter(), {}
         histograms = {name: HdrHistogram(1, MOST_US, DIGITS) for name in ("in time", "rejected")}
         for pipe in self.pipes:
