--- /dev/null
+++ b/tests/test_production.py
@@ -0,0 +1,103 @@
+"""What production adds to the standing test, where no other test holds it; each in the order that is bad."""
+
+import signal
+import threading
+import time
+
+import pytest
+from lemonlead.gateway import instances, resp
+from lemonlead.standins import fleet
+from lemonlead.standins.discovery import entry
+from lemonlead.standins.instances import InstanceServer
+from lemonlead.standins.server import until
+from test_crossings_clients import gateway
+
+WHOLE = resp.command([b"Q.ASK", b"aa", b"0123456789abcdef", b"c=look,t=acme,d=2000"])
+OWED = 3.0  # seconds within which a bad client gets its error, or its connection is closed
+HELD_UP = 0.15  # seconds for which a gateway may be held up between its look at the clock and a write
+GRACE = 0.25  # seconds after news of a drain in which something new may still begin
+
+
+def silent():
+    """An instance that takes requests and never answers; and what lets it go."""
+    never = threading.Event()
+    return InstanceServer(lambda words: never.wait(60) and None).start(), never
+
+
+@pytest.mark.parametrize("cut", [1, 12, len(WHOLE) - 1])
+@pytest.mark.parametrize("before", [0, 1])
+def test_a_client_that_stops_in_the_middle_of_a_request_and_stays_gets_its_error_or_end_in_time(
+    tmp_path, cut, before
+):
+    server = InstanceServer().start()
+    with fleet.gateway(tmp_path, server) as ran:
+        client = ran.client()
+        for _ in range(before):
+            assert client.ask().read() == b"aa"
+        client.write(WHOLE[:cut])
+        began = time.monotonic()
+        client.sock.settimeout(OWED)
+        answer = client.read()
+        assert time.monotonic() - began < OWED
+        assert answer is None or answer.startswith(b"ERR")
+        assert len(server.got) == before
+
+
+@pytest.mark.parametrize("wait", [1, 3, 10])
+@pytest.mark.parametrize("drops", [False, True])
+def test_a_request_with_very_little_time_left_gets_one_final_answer(tmp_path, wait, drops):
+    """Its instance answers too late, or drops it without a word."""
+    server, never = silent()
+    server.react = (lambda words: b"") if drops else server.react
+    with fleet.gateway(tmp_path, server) as ran:
+        clients = [ran.client().ask(wait=wait) for _ in range(10)]
+        for client in clients:
+            client.sock.settimeout(2)
+            assert client.read().startswith(b"BUSY")
+        counts = ran.counters()
+        never.set()
+        assert counts["taken"] == counts["rejected"] == 10 and counts["open"] == 0
+        assert all(int(words[3].split(b"d=")[1]) <= wait for words in server.got)
+
+
+def test_instances_that_hang_through_a_whole_shutdown_cost_no_request_its_answer(tmp_path):
+    server, never = silent()
+    with fleet.gateway(tmp_path, server) as ran:
+        clients = [ran.client().ask(wait=1500) for _ in range(5)]
+        until(lambda: len(server.got) >= 5)
+        asked = time.monotonic()
+        ran.process.send_signal(signal.SIGTERM)
+        clients += [client.ask(wait=1500) for client in (ran.client() for _ in range(3))]
+        for client in clients:
+            client.sock.settimeout(5)
+            assert client.read().startswith(b"BUSY")
+        assert ran.process.wait(20) == 0 and time.monotonic() - asked < 5
+        never.set()
+
+
+def test_a_gateway_held_up_before_it_writes_keeps_the_grace_of_a_drain_and_what_it_tells_of_the_time(
+    tmp_path, monkeypatch
+):
+    """Held up after the last look at the list and the clock; the drain is told just then."""
+    write, began, told = instances.Connection.write, [], []
+    servers = [InstanceServer().start() for _ in range(2)]
+
+    def held_up(self, data, until_moment):
+        if not told:
+            ran.tell(entry("i0", servers[0], "draining"), entry("i1", servers[1], "draining"))
+            told.append(time.monotonic())
+            while time.monotonic() < told[0] + HELD_UP:
+                time.sleep(0.005)
+        began.append(time.monotonic())
+        write(self, data, until_moment)
+
+    with gateway(tmp_path, *servers) as ran:
+        monkeypatch.setattr(instances.Connection, "write", held_up)
+        client, asked = ran.client(), time.monotonic()
+        client.ask(wait=1000)
+        client.sock.settimeout(3)
+        client.read()
+        for words in servers[0].got + servers[1].got:
+            left = asked + 1 - told[0] - HELD_UP
+            assert int(words[3].split(b"d=")[1]) <= (left + HELD_UP) * 1e3 + 20
+        assert began and began[-1] - told[0] < GRACE and len(servers[0].got + servers[1].got) == 1
