--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -439,7 +439,8 @@
 # ---- a connection that we end as its client writes
 
 
-def test_a_reset_shows_though_we_had_begun_to_end_the_connection_as_its_request_came(waiting):
+def asks_as_its_connection_ends(waiting):
+    """A client whose request comes as its connection is ended; our thread waits for the answer."""
     client = waiting.client()
     ours = waiting.ours(client)
     paused = Paused(ours)
@@ -447,8 +448,12 @@
     client.ask(wait=400_000)
     paused.come()
     paused.go.set()
-    until(lambda: waiting.count("taken") and ours.room._waiters)  # its thread waits for the answer
-    reset(client)
+    until(lambda: waiting.count("taken") and ours.room._waiters)
+    return client
+
+
+def test_a_reset_shows_though_we_had_begun_to_end_the_connection_as_its_request_came(waiting):
+    reset(asks_as_its_connection_ends(waiting))
     assert left_at_once(waiting, 1)
 
 
@@ -456,15 +461,7 @@
     """A client writes as we end its connection at rest, and goes. Past our own SHUT_RD poll tells of a reset
     alone, so that what it asked was sent on for nobody, once for each such connection. The state of the
     connection in TCP_INFO still tells of its end."""
-    client = waiting.client()
-    ours = waiting.ours(client)
-    paused = Paused(ours)
-    ours.leave("made room")
-    client.ask(wait=400_000)
-    paused.come()
-    paused.go.set()
-    until(lambda: waiting.count("taken") and ours.room._waiters)  # its thread waits for the answer
-    client.sock.close()
+    asks_as_its_connection_ends(waiting).sock.close()
     assert left_at_once(waiting, 1)
 
 
