--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -8,6 +8,7 @@
 gone.
 """
 
+import contextlib
 import os
 import signal
 import socket
@@ -16,8 +17,10 @@
 from pathlib import Path
 
 import pytest
+from lemonlead.gateway import discovery as discoveries
 from lemonlead.gateway import instances, resp
 from lemonlead.standins import fleet
+from lemonlead.standins.discovery import DiscoveryServer, entry
 from lemonlead.standins.instances import InstanceServer
 from lemonlead.standins.server import until
 from test_crossings_clients import gateway
@@ -138,3 +141,43 @@
         assert ran.client().ask().read() == b"aa"
         assert time.monotonic() - sent >= DELAY
         assert 0 <= told[0] < DELAY / 2 * 1e9
+
+
+@contextlib.contextmanager
+def watching(tmp_path, source, *servers):
+    """A gateway in this process that has a watch at this discovery."""
+    with gateway(tmp_path, *servers) as ran:
+        host, port = source.address.split(":")
+        ran.dispatcher.discovery.move((host, int(port)))
+        threading.Thread(target=ran.dispatcher.discovery.run, daemon=True).start()
+        yield ran
+
+
+def test_no_attempt_begins_while_news_of_a_drain_lie_unread(tmp_path, monkeypatch):
+    """Seen on `disco+rate`, seed 87, on two cores beside load: BROKEN: drain, 25 times, the first 0.57 s
+    after the news was written. The process had no time to read it, and went on sending meanwhile. Here the
+    thread that has read the news is held before it tells them, while requests come."""
+    put, held, go = discoveries.Discovery.told, threading.Event(), threading.Event()
+    first, second = (InstanceServer().start() for _ in range(2))
+
+    def told(self, text, source):
+        if "draining" in str(text):
+            held.set()
+            assert go.wait(60)
+        return put(self, text, source)
+
+    monkeypatch.setattr(discoveries.Discovery, "told", told)
+    source = DiscoveryServer().start()
+    with watching(tmp_path, source, first, second) as ran:
+        until(lambda: source.asked)
+        source.tell(entry("i0", first, "draining"))
+        assert held.wait(60)
+        clients = [ran.client().ask() for _ in range(6)]
+        until(lambda: ran.count("attempts") == 6)
+        waited(DELAY)
+        assert first.got == second.got == []
+        go.set()
+        answers = [client.read() for client in clients]
+        served = answers.count(b"aa")  # the one that is left takes so many at once, the others are rejected
+        assert served >= 3 and all(answer == b"aa" or answer.startswith(b"BUSY") for answer in answers)
+        assert first.got == [] and len(second.got) == served
