No attempt begins while news of the list lie unread in the gateway

Cause: Dispatcher.may_begin goes by what was told; the watch's thread had no turn to read the news and tell them, while hundreds of others went on. Ruled out: the discovery (its line had been written), the module (told, it sends none). Change: may_begin waits, up to the request's deadline, while the watch's socket holds something unread or what was read is being told (Discovery.wait_until_told): one look by poll an attempt. The watch's thread marks that it tells before it takes the bytes off the socket, so that they are seen in one place or the other.

--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -9,9 +9,11 @@
 from ..told import in_ns
 from . import http
 from .config import UNHEARD, address, now
+from .sockets import readable
 from .upkeep import CROWDED, Upkeep, read_until
 
 MOVED = 4_000_000_000  # nanoseconds after a move by which what discovery has counts as told
+LOOK = 0.05  # seconds between looks whether news lie unread, for those that wait for them to be told
 SILENCE = 4.5  # seconds without a whole line or list after which a watch is dead; one comes every 2 s
 
 
@@ -28,6 +30,9 @@
         # as of when the list here holds all that discovery has, or discovery was out of reach; 0: not known
         self.heard, self.watched = 0, False
         self.merge = None  # with what a ledger says, where one is followed
+        # The watch while it stands, and whether what it brought is being told: attempts wait for that.
+        self.read_all, self.watched_sock, self.telling = threading.Condition(), None, False
+        dispatcher.news = self
 
     def ask(self):
         self.wanted.set()
@@ -42,6 +47,7 @@
                 self.wanted.wait()
             self.wanted.clear()
             reason, detail = self.upkeep.run(self.watch)
+            self.read_up_to(None)
             self.counters.add(f"watches ended: {reason}")
             self.log.info("watch ended", reason=reason, detail=detail, version=self.version)
             if reason != "unavailable":  # else it has a list, which counts
@@ -62,7 +68,10 @@
         answer, objects, begun = http.Answer(), http.Objects(), time.monotonic()
         while True:
             while (line := answer.next()) is http.MORE and answer.status in (0, 200):
+                self.read_up_to(sock)
                 read_until(sock, begun + SILENCE)
+                readable(sock, begun + SILENCE - time.monotonic())
+                self.telling = True  # before it is read: from then on it does not lie on the socket any more
                 if not answer.buffer.fill(sock.recv_into):
                     return "closed"
             if answer.status != 200:
@@ -81,6 +90,21 @@
             if not objects.lines:  # else half an object, and then signs of life alone
                 begun = time.monotonic()
 
+    def read_up_to(self, sock):
+        """All that the watch has brought was told; `sock`: where more may lie, None once it has ended."""
+        with self.read_all:
+            self.watched_sock, self.telling = sock, False
+            self.read_all.notify_all()
+
+    def wait_until_told(self, until):
+        """Waits while news of the list lie unread here, up to this moment at most: what drains counts as told
+        when it was written, however long this process takes to read it."""
+        with self.read_all:
+            while self.telling or self.watched_sock is not None and readable(self.watched_sock):
+                if (left := until - now()) <= 0:
+                    return
+                self.read_all.wait(min(left / 1e9, LOOK))
+
     def told(self, text, source):
         try:
             update = json.loads(text)
--- a/lemonlead/gateway/dispatcher.py
+++ b/lemonlead/gateway/dispatcher.py
@@ -29,6 +29,7 @@
         self.asks = {}  # the requests that want an answer: by request, the client's command
         self.chores = []
         self.instances = self.discovery = self.releases = None  # the drivers, set before the first call
+        self.news = None  # the driver that tells of the list: no attempt begins while it has not told all
         self.service = None  # between the platform and the balancer, where a service's moves are followed
         self.wake = 0  # when the timer is to ask again
 
@@ -131,6 +132,8 @@
 
     def may_begin(self, attempt):
         """The moment by which its last byte has to be written; 0 if it may not begin."""
+        if self.news is not None:
+            self.news.wait_until_told(attempt.request.deadline)
         with self.lock:
             return self.balancer.may_begin(now(), attempt) if attempt.request in self.asks else 0
 
--- a/lemonlead/gateway/sockets.py
+++ b/lemonlead/gateway/sockets.py
@@ -46,6 +46,16 @@
     return bool(info) and info[STATE] in (CLOSE, CLOSE_WAIT)
 
 
+def readable(sock, wait=0.0):
+    """Whether something lies unread there, its end included; waits for it for so many seconds at most. Not on
+    a socket that is closed meanwhile."""
+    with contextlib.suppress(ValueError, OSError):
+        news = select.poll()
+        news.register(sock, select.POLLIN)
+        return bool(news.poll(max(wait, 0.0) * 1e3))
+    return False
+
+
 def seconds(length):
     """A time limit as a socket takes it."""
     return struct.pack("ll", int(length), int(length % 1 * 1e6))
