Attempts look for unread news under no lock

Cause, by reading: wait_until_told looked by poll while it held a lock; poll gives up the interpreter, so the lock was held for a whole turn of all threads, and attempts went one by one.

--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -99,12 +99,15 @@
     def wait_until_told(self, until):
         """Waits while news of the list lie unread here, up to this moment at most: what drains counts as told
         when it was written, however long this process takes to read it."""
-        with self.read_all:
-            while self.telling or self.watched_sock is not None and readable(self.watched_sock):
-                if (left := until - now()) <= 0:
-                    return
+        while self.has_untold() and (left := until - now()) > 0:
+            with self.read_all:
                 self.read_all.wait(min(left / 1e9, LOOK))
 
+    def has_untold(self):
+        """Looked at by each attempt, so under no lock: a thread that looks would hold it for a whole turn."""
+        sock = self.watched_sock
+        return self.telling or sock is not None and readable(sock)
+
     def told(self, text, source):
         try:
             update = json.loads(text)
