A silent watch is not waited for twice, nor taken for news that are being told

Cause: Discovery.watch bounded the read, waited for its bytes until the same moment, and then read with the bound of before: another 4.5 s, in which `telling` held all attempts up. Change: the bound is set after the wait; a watch that is silent ends then.

--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -69,8 +69,8 @@
         while True:
             while (line := answer.next()) is http.MORE and answer.status in (0, 200):
                 self.read_up_to(sock)
-                read_until(sock, begun + SILENCE)
                 readable(sock, begun + SILENCE - time.monotonic())
+                read_until(sock, begun + SILENCE)
                 self.telling = True  # before it is read: from then on it does not lie on the socket any more
                 if not answer.buffer.fill(sock.recv_into):
                     return "closed"
