--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -181,3 +181,19 @@
         served = answers.count(b"aa")  # the one that is left takes so many at once, the others are rejected
         assert served >= 3 and all(answer == b"aa" or answer.startswith(b"BUSY") for answer in answers)
         assert first.got == [] and len(second.got) == served
+
+
+def test_a_watch_that_falls_silent_holds_no_attempt_up(tmp_path, monkeypatch):
+    """A trial of the wait above took a watch that had fallen silent for one that brings news, and waited for
+    it twice: no attempt began for 4.5 s. Here requests go on until such a watch has ended."""
+    monkeypatch.setattr(discoveries, "SILENCE", 2.0)
+    source, server = DiscoveryServer().start(), InstanceServer().start()
+    source.silent.set()
+    with watching(tmp_path, source, server) as ran:
+        until(lambda: source.asked)
+        began = time.monotonic()
+        while not [line for line in ran.log.lines if line[0] == "watch ended"]:
+            client, asked = ran.client(), time.monotonic()
+            assert client.ask().read() is not None and time.monotonic() - asked < 1.5
+            waited(0.05)
+        assert 1.5 < time.monotonic() - began < 3.5
