--- a/lemonlead/gateway/instances.py
+++ b/lemonlead/gateway/instances.py
@@ -18,12 +18,8 @@
 # and one that came between the last look and the next answer would be taken for that. It costs a request
 # that finds no other so much time; a new connection would cost the instance more.
 SETTLE = 10 * NS
-ANSWERED = (
-    at.SUCCEEDED,
-    at.ERRED,
-    at.REJECTED,
-    at.UNFIT,
-)  # the endings of attempts that brought a whole answer
+# The endings of attempts that brought a whole answer.
+ANSWERED = (at.SUCCEEDED, at.ERRED, at.REJECTED, at.UNFIT)
 
 
 class Connection:
--- a/lemonlead/gateway/sockets.py
+++ b/lemonlead/gateway/sockets.py
@@ -8,11 +8,8 @@
 # Linux's `struct tcp_info`: where it has the milliseconds since the last data came, and its length with it.
 # They are counted in ticks of its timer, of ten milliseconds at most.
 LAST_DATA_RECEIVED, INFO_LENGTH = 52, 56
-STATE, CLOSE, CLOSE_WAIT = (
-    0,
-    7,
-    8,
-)  # where its state is: the connection is closed; the other side has ended it
+# Where it has the connection's state; closed; ended by the other side.
+STATE, CLOSE, CLOSE_WAIT = 0, 7, 8
 COARSEST_TICK_MS = 10
 NS_PER_MS = 1_000_000
 
