--- a/review/rig.py
+++ b/review/rig.py
@@ -1,6 +1,7 @@
 """What the cases share: it starts the project's programs, keeps the record, and ends what it started."""
 
 import contextlib
+import http.client
 import json
 import os
 import socket
@@ -87,7 +88,7 @@
         self.record, self.lines, self.began = Path(folder) / "record.txt", [], time.monotonic()
         self.lock, self.stack = threading.Lock(), contextlib.ExitStack()
         self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory(prefix="review-")))
-        self.processes = []
+        self.processes, self.listens = [], {}
 
     def note(self, text):
         """Adds a line to the record, with the seconds since the start."""
@@ -134,7 +135,7 @@
             "ROUTER_DISCOVERY": discovery,
             **(extra or {}),
         }
-        process = self.start(["/bin/sh", "-c", run], name, **environment)
+        process, self.listens[name] = self.start(["/bin/sh", "-c", run], name, **environment), listen
         until(lambda: pong(listen) or process.poll() is not None, f"{name} does not answer PING")
         if process.poll() is not None:
             raise NotRun(f"{name} ended at its start")
@@ -192,6 +193,21 @@
     return host, int(port)
 
 
+def call(address, method, path, body=None, timeout=3.0):
+    """Returns (status, object) of a call to a member, or (0, reason) without an answer. `body`: an object, or
+    bytes that go as they are."""
+    data = body if body is None or isinstance(body, bytes) else json.dumps(body).encode()
+    connection = http.client.HTTPConnection(*split_address(address), timeout=timeout)
+    try:
+        connection.request(method, path, data)
+        answer = connection.getresponse()
+        return answer.status, json.loads(answer.read())
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        return 0, type(error).__name__
+    finally:
+        connection.close()
+
+
 def pong(address):
     """Returns whether a gateway answers PING."""
     with contextlib.suppress(OSError), socket.create_connection(split_address(address), 1.0) as sock:
