Review: renumber the cases; the hang of a member gives way to a graver one

Case 1 (an answer lost at the gateway's closing) is now case 2, case 2 (drain after a crowded discovery) case 3.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,7 @@
-"""Lists are pushed: a crowded discovery is asked again so late that gateways go on sending to what drains."""
+"""A planned restart: clients that are still reading a large answer send their next request."""
 
-import json
 import os
+import select
 import signal
 import socket
 import sys
@@ -14,239 +14,143 @@
 
 from rig import TROUBLE, command, free_address, run_case, server_entry, split_address  # noqa: E402
 
+from lemonlead.standins.discovery import DiscoveryServer  # noqa: E402
 from lemonlead.standins.instances import InstanceServer, value_response  # noqa: E402
 from lemonlead.standins.platform import PlatformServer  # noqa: E402
 
-GATEWAYS = 5  # rumo-poa has 3 to 5
-INSTANCES = 8
-# rumo-poa, where they differ from the settings of rig.py.
-SETTINGS = {
-    "Areas": ["poa-1"],
-    "Balancers": GATEWAYS,
-    "Discovery": "push",
-    "Skus": ["tipo-a", "tipo-b"],
-    "Lanes": [
-        {"Name": "cep", "Effect": "idempotent", "Slo": 600.0, "GiveUp": 2000.0, "Worth": 1.0},
-        {"Name": "corrige", "Effect": "idempotent", "Slo": 800.0, "GiveUp": 2000.0, "Worth": 1.0},
-        {"Name": "laudo", "Effect": "at_most_once", "Slo": 800.0, "GiveUp": 2500.0, "Worth": 5.0},
-    ],
-    "Limits": {
-        "AttemptsCap": 4,
-        "Cancel": True,
-        "ConnectTimeout": 250.0,
-        "IdleClose": 30000.0,
-        "MayDuplicate": False,
-        "RetryAfter": False,
-    },
-    "Obligations": {
-        "AnswerSlack": 20.0,
-        "Cold": 4700.0,
-        "ColdFrom": 0.38,
-        "DrainGrace": 500.0,
-        "Fall": 3000.0,
-        "OverloadFactor": 3.0,
-    },
-    "Projects": [{"Name": "loja-pampa", "QuotaPerS": 90.0}],
-}
-WARM_SECONDS = 2.0
-DOWN_SECONDS = 8.0  # as on herd+mass
-CROWD_SECONDS = 15.0  # discovery is up and has too many callers
-QUEUE_SECONDS = 0.5  # that a call waits then, until it ends with 503
-TOLD_SECONDS = 6.0  # after discovery had a change and could be reached, it counts as told
-GRACE_SECONDS = 0.5  # of the site, for drains
-SLACK_SECONDS = 0.05  # by which each time limit is longer on sockets
-WATCHED_SECONDS = 18.0  # after discovery could be reached
-CLIENTS = 2  # at each gateway
-CLIENT_PAUSE_SECONDS = 0.02  # some 45 requests a second at each gateway
-
-
-class Discovery:
-    """Discovery: it sends each watch the whole list, then changes, and an empty line each 2 s. It can go
-    down, and it can have too many callers."""
-
-    def __init__(self, case, servers):
-        self.case, self.servers, self.version = case, servers, 2
-        self.address, self.changed = free_address(), threading.Condition()
-        self.crowded, self.open, self.listener = False, [], None
-        self.updates = []  # (version, entry)
-        self.come_up()
-
-    def come_up(self):
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(split_address(self.address))
-        listener.listen(64)
-        self.listener = listener
-        threading.Thread(target=self.accept, args=(listener,), daemon=True).start()
-
-    def go_down(self):
-        """Ends all watches and refuses connections."""
-        self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
-        for sock in self.open:
-            sock.close()
-        self.open = []
-
-    def change(self, entry):
-        with self.changed:
-            self.version += 1
-            self.updates.append((self.version, entry))
-            self.servers = [entry if one["id"] == entry["id"] else one for one in self.servers]
-            self.changed.notify_all()
-
-    def accept(self, listener):
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError:
-                return
-            self.open.append(sock)
-            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
-
-    def serve(self, sock):
-        try:
-            head = b""
-            while b"\r\n\r\n" not in head:
-                if not (data := sock.recv(4096)):
-                    return
-                head += data
-            number = sock.getpeername()[1]
-            if self.crowded:
-                time.sleep(QUEUE_SECONDS)
-            if self.crowded:
-                self.case.note(f"discovery: 503 to a call from port {number}")
-                sock.sendall(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
-                sock.close()
-                return
-            self.case.note(f"discovery: a watch is open, port {number}")
-            sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            with self.changed:
-                told, text = self.version, self.text(self.version, True, self.servers)
-            while True:
-                sock.sendall(b"%x\r\n%b\r\n" % (len(text), text))
-                with self.changed:
-                    self.changed.wait_for(lambda told=told: self.version > told, 2.0)
-                    changes = [entry for version, entry in self.updates if version > told]
-                    told, text = self.version, self.text(self.version, False, changes) if changes else b"\n"
-        except OSError:
-            return
-
-    def text(self, version, full, servers):
-        return json.dumps({"version": version, "full": full, "servers": servers}).encode() + b"\n"
-
-
-class Instance:
-    """An instance, which serves what it gets, also while it drains. `got`: (time, gateway's number) of each
-    request; each gateway reaches it at an address of its own."""
-
-    def __init__(self, id):
-        self.id, self.got = id, []
-        self.servers = [InstanceServer(self.handler(number)).start() for number in range(GATEWAYS)]
-
-    def handler(self, number):
-        def react(words):
-            if words[0].upper() == b"PING":
-                return b"+PONG\r\n"
-            self.got.append((time.monotonic(), number))
-            time.sleep(0.02)
-            return value_response(words[1])
-
-        return react
-
-
-class Client(threading.Thread):
-    def __init__(self, address):
+VALUE_BYTES = 60_000  # values hold at most 64 KiB
+CLIENTS = 8
+READ_BYTES = 2048  # a client on a slow path reads so much ...
+READ_PAUSE_SECONDS = 0.05  # ... each so often: 60,000 bytes in 1.5 s
+RECEIVE_BUFFER_BYTES = 8192
+WAIT_MS = 4000  # what the client tells as d
+RESTART_SECONDS = 0.1  # from the first request to SIGTERM
+SECOND_SECONDS = 1.0  # from the first request to the second one on the same connection
+
+
+def value_of(key):
+    """Returns the value that an instance makes for this key."""
+    unit = key + b":"
+    return (unit * (VALUE_BYTES // len(unit) + 1))[:VALUE_BYTES]
+
+
+class SlowClient(threading.Thread):
+    """A client with two requests out on one connection. It reads steadily, but its path is slow."""
+
+    def __init__(self, case, number, address):
         super().__init__(daemon=True)
-        self.address, self.answers, self.stopped = address, {}, threading.Event()
+        self.case, self.number, self.address = case, number, address
+        self.answers, self.data, self.ended = [], bytearray(), ""
+        self.keys = [b"k%d.%d" % (number, turn) for turn in range(2)]
+        self.sent = [0.0, 0.0]
+        self.first = ("Q.DO", "reserve") if number % 2 else ("Q.ASK", "fitment")
 
     def run(self):
-        sock, turn = None, 0
-        while not self.stopped.wait(CLIENT_PAUSE_SECONDS):
-            turn += 1
-            try:
-                sock = sock or socket.create_connection(split_address(self.address), 2.0)
-                sock.settimeout(3.0)
-                key, extras = os.urandom(8).hex(), "c=cep,t=loja-pampa,d=1500,h=20000"
-                sock.sendall(command("Q.ASK", key, os.urandom(8).hex(), extras))
-                data = b""
-                while data.count(b"\r\n") < (2 if data[:1] == b"$" else 1):
-                    if not (some := sock.recv(4096)):
-                        raise ConnectionResetError
-                    data += some
-                what = "served" if data[:1] == b"$" else data.split()[0].decode()
-            except OSError as error:
-                what, sock = type(error).__name__, None
-            self.answers[what] = self.answers.get(what, 0) + 1
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.connect(split_address(self.address))
+        self.ask(sock, 0)
+        until = time.monotonic() + WAIT_MS / 1e3 + 1.0
+        try:
+            while len(self.answers) < 2 and time.monotonic() < until:
+                if not self.sent[1] and time.monotonic() - self.sent[0] >= SECOND_SECONDS:
+                    self.ask(sock, 1)
+                if select.select([sock], [], [], 0.05)[0]:
+                    if not (data := sock.recv(READ_BYTES)):
+                        self.ended = "ended"
+                        break
+                    self.data += data
+                    self.take_answers()
+                time.sleep(READ_PAUSE_SECONDS)
+            else:
+                self.ended = self.ended or ("" if len(self.answers) == 2 else "out of time")
+        except OSError as error:
+            self.ended = type(error).__name__
+        finally:
+            sock.close()
+        if self.sent[1] and len(self.answers) < 2 and self.ended:
+            self.ask_once_more()
+
+    def ask_once_more(self):
+        """Sends the second request once more on a new connection, as the page has it where its sending
+        crossed the gateway's closing."""
+        try:
+            with socket.create_connection(split_address(self.address), 1.0) as sock:
+                self.ask(sock, 1)
+                sock.settimeout(WAIT_MS / 1e3)
+                sock.recv(READ_BYTES)
+        except OSError as error:
+            self.case.note(f"client {self.number}: new connection: {type(error).__name__}")
+
+    def ask(self, sock, turn):
+        key, (name, lane) = self.keys[turn], self.first if turn == 0 else ("Q.ASK", "fitment")
+        self.sent[turn] = time.monotonic()
+        self.case.note(
+            f"client {self.number}: {name} {key.decode()} c={lane}, {len(self.data)} bytes of answers read"
+        )
+        extras = f"c={lane},t=north-motors,d={WAIT_MS}"
+        if lane == "reserve":
+            extras += f",k={os.urandom(8).hex()}"
+        sock.sendall(command(name, key, os.urandom(8).hex(), extras))
+
+    def take_answers(self):
+        """Takes the whole answers at the front of what was read."""
+        while b"\r\n" in self.data:
+            line, _, rest = bytes(self.data).partition(b"\r\n")
+            if line[:1] == b"$":
+                size = int(line[1:])
+                if len(rest) < size + 2:
+                    return
+                self.answers.append(rest[:size])
+                del self.data[: len(line) + 2 + size + 2]
+            else:
+                self.answers.append(line)
+                del self.data[: len(line) + 2]
+            last = self.answers[-1]
+            self.case.note(f"client {self.number}: answer of {len(last)} bytes, {last[:20]!r}")
 
 
 def play(case):
-    instances = [Instance(f"s-{number}") for number in range(INSTANCES)]
-
-    def entries(gateway, drained=()):
-        """Returns the list as discovery gives it to this gateway."""
-        found = []
-        for one in instances:
-            state = "draining" if one.id in drained else "up"
-            found.append(server_entry(one.id, one.servers[gateway].address, state))
-            found[-1] |= {"zone": "poa-1", "kind": "tipo-a"}
-        return found
-
-    discoveries = [Discovery(case, entries(number)) for number in range(GATEWAYS)]
-    platform, gateways, clients = PlatformServer().start(), [], []
-    for number in range(GATEWAYS):
-        settings = {**SETTINGS, "Me": number}
-        gateways.append(
-            case.gateway(
-                f"n{number}",
-                free_address(),
-                discoveries[number].address,
-                platform.address,
-                entries(number),
-                settings,
-            )
-        )
-        clients.append([Client(case.listens[f"n{number}"]) for _ in range(CLIENTS)])
-        for client in clients[-1]:
-            client.start()
-    case.note(f"{GATEWAYS} gateways answer PING")
-    time.sleep(WARM_SECONDS)
+    ran = []
+
+    def react(words):
+        if words[0].upper() == b"PING":
+            return b"+PONG\r\n"
+        ran.append(words[1])
+        case.note(f"instance: {words[0].decode()} {words[1].decode()} {words[3].decode()} ran")
+        return value_response(value_of(words[1]))
+
+    instances = [InstanceServer(react).start() for _ in range(2)]
+    servers = [server_entry(f"s-{number}", one.address) for number, one in enumerate(instances)]
+    discovery, platform, listen = DiscoveryServer().start(), PlatformServer().start(), free_address()
+    discovery.publish(*servers, full=True)
+    gateway = case.gateway("n0", listen, discovery.address, platform.address, servers)
+    case.note("gateway n0 answers PING")
+    clients = [SlowClient(case, number, listen) for number in range(CLIENTS)]
+    for client in clients:
+        client.start()
+    time.sleep(RESTART_SECONDS)
     if TROUBLE:
-        case.note(f"discovery goes down for {DOWN_SECONDS} s")
-        for one in discoveries:
-            one.go_down()
-    time.sleep(DOWN_SECONDS)
+        case.note("SIGTERM to gateway n0: a planned restart")
+        gateway.send_signal(signal.SIGTERM)
+    for client in clients:
+        client.join(WAIT_MS / 1e3 + 3.0)
     if TROUBLE:
-        case.note(f"discovery is up again and has too many callers for {CROWD_SECONDS} s")
-        for one in discoveries:
-            one.crowded = True
-            one.come_up()
-    time.sleep(CROWD_SECONDS)
-    drained = instances[0]
-    for number, one in enumerate(discoveries):
-        one.crowded = False
-        one.change(entries(number, [drained.id])[0])
-    reached_at = time.monotonic()
-    case.note(f"discovery can be reached, and has {drained.id} as draining")
-    time.sleep(WATCHED_SECONDS)
-    for client in [client for some in clients for client in some]:
-        client.stopped.set()
-    bound = TOLD_SECONDS + GRACE_SECONDS + SLACK_SECONDS
+        case.note(f"gateway n0 ended with {gateway.wait(10)}")
     breaks = []
-    for number in range(GATEWAYS):
-        times = [at - reached_at for at, gateway in drained.got if gateway == number and at > reached_at]
-        late = [at for at in times if at > bound]
-        last = f"{times[-1]:.2f} s after" if times else "none"
+    for client in clients:
+        first = client.answers[0] if client.answers else None
         case.note(
-            f"n{number} to {drained.id} from then on: {len(times)} requests, {len(late)} later than "
-            f"{bound:.2f} s, last {last}; its clients' answers: {[one.answers for one in clients[number]]}"
+            f"client {client.number}: {len(client.answers)} whole answers, {len(client.data)} bytes of "
+            f"another, connection: {client.ended or 'open'}"
         )
-        if late:
+        # A refusal and an error line are final answers; so is the value, if it is the one made for this key.
+        if first is None or not first.startswith(b"-") and first != value_of(client.keys[0]):
             breaks.append(
-                f"n{number} sent {drained.id} {len(late)} requests later than {bound:.2f} s, up to {last}"
+                f"client {client.number}: {client.keys[0].decode()} was taken and ran "
+                f"{ran.count(client.keys[0])} times; {len(client.data)} of {VALUE_BYTES + 10} bytes of its "
+                f"answer came, then {client.ended or 'nothing'}"
             )
-    for process in gateways:
-        process.send_signal(signal.SIGTERM)
-    case.note(f"the gateways ended with {[process.wait(10) for process in gateways]}")
     return breaks
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""A command whose JSON was cut short hangs each member that it is sent to."""
+"""Lists are pushed: a crowded discovery is asked again so late that gateways go on sending to what drains."""
 
-import contextlib
-import http.client
 import json
+import os
+import signal
+import socket
 import sys
 import threading
 import time
@@ -11,109 +12,242 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from rig import ROOT, TROUBLE, free_address, run_case, split_address, until  # noqa: E402
-
-NAMES = ("g1", "g2", "g3")
-# As deploy/cluster/louis.cue has them.
-TIMES = "times: {election: 1s, heartbeat: 150ms, stale: 3s}"
-TERMS = "terms: {remember: 15m, lease: 10s, grace: 1s, cold: 5s, cold_share: 0.5}"
-ROUTES = 3400  # in the document; the whole command has some 235 KB, of the 256 KiB that one may have
-CUT_BYTES = 200 * 1024  # the script that sends it has read so much of its file
-SCRIPT_TIMEOUT_SECONDS = 5.0  # then the script asks the next member, with the same id
-CALL_TIMEOUT_SECONDS = 3.0  # of the other client's calls
-JUDGED_SECONDS = 45.0  # for which the other client asks all members in turn
-
-
-def call(address, method, path, body=None, timeout=CALL_TIMEOUT_SECONDS):
-    """Returns (status, object) of a call, or (0, reason) without an answer."""
-    connection = http.client.HTTPConnection(*split_address(address), timeout=timeout)
-    try:
-        connection.request(method, path, body)
-        answer = connection.getresponse()
-        data = answer.read()
-        with contextlib.suppress(ValueError):
-            return answer.status, json.loads(data)
-        return answer.status, data[:100]
-    except (OSError, http.client.HTTPException) as error:
-        return 0, type(error).__name__
-    finally:
-        connection.close()
-
-
-def document_command():
-    """Returns the bytes of a command that puts a document of routes, itself JSON, as a text into an entry."""
-    routes = [{"route": f"r{number}", "to": "front", "zones": ["a", "b"]} for number in range(ROUTES)]
-    value = {"document": json.dumps({"routes": routes})}
-    entry = {"id": "script/1", "kind": "entry", "scope": "front", "key": "routes", "value": value}
-    return json.dumps(entry).encode()
+from rig import TROUBLE, command, free_address, run_case, server_entry, split_address  # noqa: E402
+
+from lemonlead.standins.instances import InstanceServer, value_response  # noqa: E402
+from lemonlead.standins.platform import PlatformServer  # noqa: E402
+
+GATEWAYS = 5  # rumo-poa has 3 to 5
+INSTANCES = 8
+# rumo-poa, where they differ from the settings of rig.py.
+SETTINGS = {
+    "Areas": ["poa-1"],
+    "Balancers": GATEWAYS,
+    "Discovery": "push",
+    "Skus": ["tipo-a", "tipo-b"],
+    "Lanes": [
+        {"Name": "cep", "Effect": "idempotent", "Slo": 600.0, "GiveUp": 2000.0, "Worth": 1.0},
+        {"Name": "corrige", "Effect": "idempotent", "Slo": 800.0, "GiveUp": 2000.0, "Worth": 1.0},
+        {"Name": "laudo", "Effect": "at_most_once", "Slo": 800.0, "GiveUp": 2500.0, "Worth": 5.0},
+    ],
+    "Limits": {
+        "AttemptsCap": 4,
+        "Cancel": True,
+        "ConnectTimeout": 250.0,
+        "IdleClose": 30000.0,
+        "MayDuplicate": False,
+        "RetryAfter": False,
+    },
+    "Obligations": {
+        "AnswerSlack": 20.0,
+        "Cold": 4700.0,
+        "ColdFrom": 0.38,
+        "DrainGrace": 500.0,
+        "Fall": 3000.0,
+        "OverloadFactor": 3.0,
+    },
+    "Projects": [{"Name": "loja-pampa", "QuotaPerS": 90.0}],
+}
+WARM_SECONDS = 2.0
+DOWN_SECONDS = 8.0  # as on herd+mass
+CROWD_SECONDS = 15.0  # discovery is up and has too many callers
+QUEUE_SECONDS = 0.5  # that a call waits then, until it ends with 503
+TOLD_SECONDS = 6.0  # after discovery had a change and could be reached, it counts as told
+GRACE_SECONDS = 0.5  # of the site, for drains
+SLACK_SECONDS = 0.05  # by which each time limit is longer on sockets
+WATCHED_SECONDS = 18.0  # after discovery could be reached
+CLIENTS = 2  # at each gateway
+CLIENT_PAUSE_SECONDS = 0.02  # some 45 requests a second at each gateway
+
+
+class Discovery:
+    """Discovery: it sends each watch the whole list, then changes, and an empty line each 2 s. It can go
+    down, and it can have too many callers."""
+
+    def __init__(self, case, servers):
+        self.case, self.servers, self.version = case, servers, 2
+        self.address, self.changed = free_address(), threading.Condition()
+        self.crowded, self.open, self.listener = False, [], None
+        self.updates = []  # (version, entry)
+        self.come_up()
+
+    def come_up(self):
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(split_address(self.address))
+        listener.listen(64)
+        self.listener = listener
+        threading.Thread(target=self.accept, args=(listener,), daemon=True).start()
+
+    def go_down(self):
+        """Ends all watches and refuses connections."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in self.open:
+            sock.close()
+        self.open = []
+
+    def change(self, entry):
+        with self.changed:
+            self.version += 1
+            self.updates.append((self.version, entry))
+            self.servers = [entry if one["id"] == entry["id"] else one for one in self.servers]
+            self.changed.notify_all()
+
+    def accept(self, listener):
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            self.open.append(sock)
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        try:
+            head = b""
+            while b"\r\n\r\n" not in head:
+                if not (data := sock.recv(4096)):
+                    return
+                head += data
+            number = sock.getpeername()[1]
+            if self.crowded:
+                time.sleep(QUEUE_SECONDS)
+            if self.crowded:
+                self.case.note(f"discovery: 503 to a call from port {number}")
+                sock.sendall(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                sock.close()
+                return
+            self.case.note(f"discovery: a watch is open, port {number}")
+            sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            with self.changed:
+                told, text = self.version, self.text(self.version, True, self.servers)
+            while True:
+                sock.sendall(b"%x\r\n%b\r\n" % (len(text), text))
+                with self.changed:
+                    self.changed.wait_for(lambda told=told: self.version > told, 2.0)
+                    changes = [entry for version, entry in self.updates if version > told]
+                    told, text = self.version, self.text(self.version, False, changes) if changes else b"\n"
+        except OSError:
+            return
+
+    def text(self, version, full, servers):
+        return json.dumps({"version": version, "full": full, "servers": servers}).encode() + b"\n"
+
+
+class Instance:
+    """An instance, which serves what it gets, also while it drains. `got`: (time, gateway's number) of each
+    request; each gateway reaches it at an address of its own."""
+
+    def __init__(self, id):
+        self.id, self.got = id, []
+        self.servers = [InstanceServer(self.handler(number)).start() for number in range(GATEWAYS)]
+
+    def handler(self, number):
+        def react(words):
+            if words[0].upper() == b"PING":
+                return b"+PONG\r\n"
+            self.got.append((time.monotonic(), number))
+            time.sleep(0.02)
+            return value_response(words[1])
+
+        return react
+
+
+class Client(threading.Thread):
+    def __init__(self, address):
+        super().__init__(daemon=True)
+        self.address, self.answers, self.stopped = address, {}, threading.Event()
+
+    def run(self):
+        sock, turn = None, 0
+        while not self.stopped.wait(CLIENT_PAUSE_SECONDS):
+            turn += 1
+            try:
+                sock = sock or socket.create_connection(split_address(self.address), 2.0)
+                sock.settimeout(3.0)
+                key, extras = os.urandom(8).hex(), "c=cep,t=loja-pampa,d=1500,h=20000"
+                sock.sendall(command("Q.ASK", key, os.urandom(8).hex(), extras))
+                data = b""
+                while data.count(b"\r\n") < (2 if data[:1] == b"$" else 1):
+                    if not (some := sock.recv(4096)):
+                        raise ConnectionResetError
+                    data += some
+                what = "served" if data[:1] == b"$" else data.split()[0].decode()
+            except OSError as error:
+                what, sock = type(error).__name__, None
+            self.answers[what] = self.answers.get(what, 0) + 1
 
 
 def play(case):
-    addresses = {name: free_address() for name in NAMES}
-    members = ", ".join(f'{name}: "{address}"' for name, address in addresses.items())
-    processes = {}
-    for name in NAMES:
-        path = case.folder / f"{name}.cue"
-        path.write_text(
-            f'cluster: "louis"\nmember: "{name}"\ndata: "data-{name}"\nlisten: "{addresses[name]}"\n'
-            f"members: {{{members}}}\n{TIMES}\n{TERMS}\n"
+    instances = [Instance(f"s-{number}") for number in range(INSTANCES)]
+
+    def entries(gateway, drained=()):
+        """Returns the list as discovery gives it to this gateway."""
+        found = []
+        for one in instances:
+            state = "draining" if one.id in drained else "up"
+            found.append(server_entry(one.id, one.servers[gateway].address, state))
+            found[-1] |= {"zone": "poa-1", "kind": "tipo-a"}
+        return found
+
+    discoveries = [Discovery(case, entries(number)) for number in range(GATEWAYS)]
+    platform, gateways, clients = PlatformServer().start(), [], []
+    for number in range(GATEWAYS):
+        settings = {**SETTINGS, "Me": number}
+        gateways.append(
+            case.gateway(
+                f"n{number}",
+                free_address(),
+                discoveries[number].address,
+                platform.address,
+                entries(number),
+                settings,
+            )
         )
-        processes[name] = case.start([str(ROOT / "bin" / "lemonlead"), "member", str(path)], name)
-    for name in NAMES:
-        until(lambda name=name: "event=ready" in case.log(name), f"{name} is not ready")
-        until(lambda name=name: call(addresses[name], "GET", "/readyz")[0] == 200, f"{name} knows no leader")
-    case.note("three members are ready and know a leader")
-
-    def ask(name, id, timeout=CALL_TIMEOUT_SECONDS, **fields):
-        began = time.monotonic()
-        code, body = call(addresses[name], "POST", "/v1/commands", json.dumps({"id": id, **fields}), timeout)
-        what = body if code == 0 else body.get("at") or body.get("outcome") or body["error"]["says"][:60]
-        took = time.monotonic() - began
-        case.note(f"tester: {fields['kind']} {id} at {name}: {code} {what} after {took:.2f} s")
-        return code
-
-    declared = ask("g1", "tester/1", 15.0, kind="node", node="s-1", site="a", units=100)
-    first = ask("g2", "tester/2", 15.0, kind="reserve", reservation="r-1", service="front", units=1, site="a")
-    if (declared, first) != (200, 200):
-        raise AssertionError("the cluster does not answer before the trial")
-
-    data = document_command()
-    sent = data[:CUT_BYTES] if TROUBLE else data
-
-    def script():
-        """The operators' script: asks one member after another until one decides."""
-        for name in NAMES:
-            began = time.monotonic()
-            case.note(f"script: entry script/1, {len(sent)} of {len(data)} bytes, to {name}")
-            code, body = call(addresses[name], "POST", "/v1/commands", sent, SCRIPT_TIMEOUT_SECONDS)
-            says = body["error"]["says"][:80] if code in (400, 409) else body
-            case.note(f"script: {name}: {code} {says} after {time.monotonic() - began:.2f} s")
-            if code in (200, 400, 409):
-                return
-
-    running = threading.Thread(target=script, daemon=True)
-    running.start()
-    running.join(len(NAMES) * SCRIPT_TIMEOUT_SECONDS + 5.0)
-    answered, turn, until_time = [], 0, time.monotonic() + JUDGED_SECONDS
-    while time.monotonic() < until_time and len(answered) < len(NAMES):
-        name = NAMES[turn % len(NAMES)]
-        turn += 1
-        fields = {"reservation": f"r-t{turn}", "service": "front", "units": 1, "site": "a"}
-        code = ask(name, f"tester/t{turn}", kind="reserve", **fields)
-        ready = call(addresses[name], "GET", "/readyz")
-        case.note(f"tester: readyz at {name}: {ready[0]} {ready[1] if ready[0] == 0 else ''}")
-        if code or ready[0]:
-            answered.append(name)
-    for name in NAMES:
-        case.note(f"{name}: {'runs' if processes[name].poll() is None else 'has ended'}")
-    if answered:
-        return []
-    for process in processes.values():
-        process.terminate()
-    time.sleep(5.0)
-    left = [name for name in NAMES if processes[name].poll() is None]
-    case.note(f"5 s after SIGTERM these still run: {', '.join(left) or 'none'}")
-    return [f"no member answered anything in {JUDGED_SECONDS:.0f} s: {turn} commands and {turn} readyz"]
+        clients.append([Client(case.listens[f"n{number}"]) for _ in range(CLIENTS)])
+        for client in clients[-1]:
+            client.start()
+    case.note(f"{GATEWAYS} gateways answer PING")
+    time.sleep(WARM_SECONDS)
+    if TROUBLE:
+        case.note(f"discovery goes down for {DOWN_SECONDS} s")
+        for one in discoveries:
+            one.go_down()
+    time.sleep(DOWN_SECONDS)
+    if TROUBLE:
+        case.note(f"discovery is up again and has too many callers for {CROWD_SECONDS} s")
+        for one in discoveries:
+            one.crowded = True
+            one.come_up()
+    time.sleep(CROWD_SECONDS)
+    drained = instances[0]
+    for number, one in enumerate(discoveries):
+        one.crowded = False
+        one.change(entries(number, [drained.id])[0])
+    reached_at = time.monotonic()
+    case.note(f"discovery can be reached, and has {drained.id} as draining")
+    time.sleep(WATCHED_SECONDS)
+    for client in [client for some in clients for client in some]:
+        client.stopped.set()
+    bound = TOLD_SECONDS + GRACE_SECONDS + SLACK_SECONDS
+    breaks = []
+    for number in range(GATEWAYS):
+        times = [at - reached_at for at, gateway in drained.got if gateway == number and at > reached_at]
+        late = [at for at in times if at > bound]
+        last = f"{times[-1]:.2f} s after" if times else "none"
+        case.note(
+            f"n{number} to {drained.id} from then on: {len(times)} requests, {len(late)} later than "
+            f"{bound:.2f} s, last {last}; its clients' answers: {[one.answers for one in clients[number]]}"
+        )
+        if late:
+            breaks.append(
+                f"n{number} sent {drained.id} {len(late)} requests later than {bound:.2f} s, up to {last}"
+            )
+    for process in gateways:
+        process.send_signal(signal.SIGTERM)
+    case.note(f"the gateways ended with {[process.wait(10) for process in gateways]}")
+    return breaks
 
 
 if __name__ == "__main__":
