--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,6 @@
 """Lists are pushed: a crowded discovery is asked again so late that gateways go on sending to what drains."""
 
+import contextlib
 import json
 import os
 import signal
@@ -56,8 +57,12 @@
 GRACE_SECONDS = 0.5  # of the site, for drains
 SLACK_SECONDS = 0.05  # by which each time limit is longer on sockets
 WATCHED_SECONDS = 18.0  # after discovery could be reached
-CLIENTS = 2  # at each gateway
-CLIENT_PAUSE_SECONDS = 0.02  # some 45 requests a second at each gateway
+WORK_SECONDS = 0.25  # of a `laudo`; others take 0.02
+# The drained instance ends once all that may still have been sent to it is done: so long after discovery
+# could be reached. 6.55 s and the work are 6.8 s.
+END_SECONDS = 7.5
+CLIENTS = {"cep": 2, "laudo": 8}  # at each gateway
+CLIENT_PAUSE_SECONDS = 0.02  # some 45 `cep` and 28 `laudo` a second at each gateway
 
 
 class Discovery:
@@ -136,11 +141,11 @@
 
 
 class Instance:
-    """An instance, which serves what it gets, also while it drains. `got`: (time, gateway's number) of each
-    request; each gateway reaches it at an address of its own."""
+    """An instance, which serves what it gets, also while it drains. Each gateway reaches it at an address of
+    its own. `got`: (time, gateway's number) of each request; `in_hand`: ids of the one-shot ones there."""
 
     def __init__(self, id):
-        self.id, self.got = id, []
+        self.id, self.got, self.in_hand, self.ended = id, [], set(), False
         self.servers = [InstanceServer(self.handler(number)).start() for number in range(GATEWAYS)]
 
     def handler(self, number):
@@ -148,35 +153,57 @@
             if words[0].upper() == b"PING":
                 return b"+PONG\r\n"
             self.got.append((time.monotonic(), number))
-            time.sleep(0.02)
+            one_shot = words[0].upper() == b"Q.DO"
+            if one_shot:
+                self.in_hand.add(words[2].decode())
+            time.sleep(WORK_SECONDS if one_shot else 0.02)
+            if self.ended:
+                return None
+            self.in_hand.discard(words[2].decode())
             return value_response(words[1])
 
         return react
 
+    def end(self):
+        """Ends as a process does: its connections break, and new ones are refused. Returns what it was at."""
+        self.ended, left = True, sorted(self.in_hand)
+        for server in self.servers:
+            for sock in (server.listener, *server.connections):
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
+                sock.close()
+        return left
+
 
 class Client(threading.Thread):
-    def __init__(self, address):
+    """Asks one request of a lane after another. `by_id`: the answer to each one-shot request."""
+
+    def __init__(self, address, lane):
         super().__init__(daemon=True)
-        self.address, self.answers, self.stopped = address, {}, threading.Event()
+        self.address, self.lane, self.answers, self.stopped = address, lane, {}, threading.Event()
+        self.by_id = {}
 
     def run(self):
-        sock, turn = None, 0
+        sock = None
         while not self.stopped.wait(CLIENT_PAUSE_SECONDS):
-            turn += 1
+            id = os.urandom(8).hex()
             try:
                 sock = sock or socket.create_connection(split_address(self.address), 2.0)
-                sock.settimeout(3.0)
-                key, extras = os.urandom(8).hex(), "c=cep,t=loja-pampa,d=1500,h=20000"
-                sock.sendall(command("Q.ASK", key, os.urandom(8).hex(), extras))
+                sock.settimeout(4.0)
+                name, wait = ("Q.DO", 2500) if self.lane == "laudo" else ("Q.ASK", 2000)
+                extras = f"c={self.lane},t=loja-pampa,d={wait},h=20000"
+                sock.sendall(command(name, os.urandom(8).hex(), id, extras))
                 data = b""
                 while data.count(b"\r\n") < (2 if data[:1] == b"$" else 1):
                     if not (some := sock.recv(4096)):
                         raise ConnectionResetError
                     data += some
-                what = "served" if data[:1] == b"$" else data.split()[0].decode()
+                what = "served" if data[:1] == b"$" else data.split(b"\r\n")[0].decode()
             except OSError as error:
                 what, sock = type(error).__name__, None
-            self.answers[what] = self.answers.get(what, 0) + 1
+            self.answers[what.split()[0]] = self.answers.get(what.split()[0], 0) + 1
+            if self.lane == "laudo":
+                self.by_id[id] = what
 
 
 def play(case):
@@ -205,7 +232,8 @@
                 settings,
             )
         )
-        clients.append([Client(case.listens[f"n{number}"]) for _ in range(CLIENTS)])
+        where = case.listens[f"n{number}"]
+        clients.append([Client(where, lane) for lane, count in CLIENTS.items() for _ in range(count)])
         for client in clients[-1]:
             client.start()
     case.note(f"{GATEWAYS} gateways answer PING")
@@ -227,9 +255,16 @@
         one.change(entries(number, [drained.id])[0])
     reached_at = time.monotonic()
     case.note(f"discovery can be reached, and has {drained.id} as draining")
-    time.sleep(WATCHED_SECONDS)
-    for client in [client for some in clients for client in some]:
+    time.sleep(END_SECONDS)
+    at_end = drained.end()
+    case.note(f"{drained.id} ends; it was at {len(at_end)} one-shot requests: {' '.join(at_end)}")
+    time.sleep(WATCHED_SECONDS - END_SECONDS)
+    everyone = [client for some in clients for client in some]
+    for client in everyone:
         client.stopped.set()
+    time.sleep(0.5)
+    lost = {id: what for client in everyone for id, what in client.by_id.items() if id in at_end}
+    case.note(f"what their clients were answered: {sorted(lost.values())}")
     bound = TOLD_SECONDS + GRACE_SECONDS + SLACK_SECONDS
     breaks = []
     for number in range(GATEWAYS):
@@ -244,6 +279,8 @@
             breaks.append(
                 f"n{number} sent {drained.id} {len(late)} requests later than {bound:.2f} s, up to {last}"
             )
+    if breaks and lost:
+        breaks.append(f"{len(lost)} one-shot requests were at {drained.id} as it ended, all sent too late")
     for process in gateways:
         process.send_signal(signal.SIGTERM)
     case.note(f"the gateways ended with {[process.wait(10) for process in gateways]}")
