Instances: a second answer, however late, is not taken for the next request's

Cause: Connection.is_quiet looks 10 ms after an answer, but the instance's kernel keeps the second small write back until the first is acknowledged (Nagle), and ours acknowledges with the next request. The copy is then read as that one's answer, and from there on each answer is one late. That alone would leave copies over 10 ms late, so an answer equal to the one before it on the connection is confirmed by a PING (SELECT where probes are allowed) behind it: answers come in order, so what comes before the marker's answer tells copy from own.

Stand-in instances answer PING, SELECT and CLIENT as the protocol has it.

--- a/lemonlead/gateway/instances.py
+++ b/lemonlead/gateway/instances.py
@@ -17,11 +17,15 @@
 
 # An unused connection is closed after this share of the configured idle time, before the instance closes it.
 IDLE_SHARE = 0.9
-# A connection is not used again for this long after its last response. A second response may arrive some
-# milliseconds late, and one that arrived after the last check would be taken for the response to the next
-# request. A request that finds no other connection waits for this time; a new connection would cost the
-# instance more.
+# A connection is not used again for this long after its last response, because instances may send a second
+# copy some milliseconds late, and this is the longest of "some milliseconds". A later copy is found by
+# `Instances.read_response`, which costs the request a round trip. A request that finds no other connection
+# waits for this time; a new connection would cost the instance more.
 REUSE_DELAY_NS = 10 * NS_PER_MS
+# Commands that run nothing, and their responses. They show where the response to the command before ends.
+# Where probes are allowed, PING would be one, which the instance has to work for.
+PING = resp.command([b"PING"]), resp.fingerprint(resp.Status(b"PONG"))
+SELECT = resp.command([b"SELECT", b"0"]), resp.fingerprint(resp.Status(b"OK"))
 # The ends of attempts that received a whole response.
 ANSWERED = (interface.SUCCEEDED, interface.ERRED, interface.REJECTED, interface.BAD_REQUEST)
 
@@ -34,6 +38,8 @@
         self.reader = resp.Reader()
         self.idle_since = now()  # the time of the last response; before the first one, of the creation
         self.connected_at = 0
+        self.last_response = None  # the fingerprint of the last response
+        self.out_of_step = False  # a response is still to come that belongs to no request
 
     def connect(self, until):
         self.sock.settimeout(time_left(until) / 1e9)
@@ -77,8 +83,16 @@
                 raise TimeoutError from None
             if not count:
                 raise ConnectionResetError
+        self.acknowledge()
         return value
 
+    def acknowledge(self):
+        """Acknowledges at once what was read. The kernel would delay that until our next write, and the
+        peer's kernel keeps a second small response back until then (Nagle's algorithm): it would arrive
+        behind the next request. The option lasts only until the next write."""
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+
 
 def time_left(until):
     if (wait := until - now()) <= 0:
@@ -133,6 +147,7 @@
         self.dispatcher, self.thread_pool, self.log, self.counters = dispatcher, thread_pool, log, counters
         self.idle_time = int(config.start.idle_time * IDLE_SHARE)
         self.connect_time = config.start.connect_time
+        self.marker, self.marker_response = SELECT if config.start.may_probe else PING
         self.max_connections, self.open_connections = config.connections // 2, 0  # including those being made
         self.lock = threading.Lock()
         self.pools, self.attempts_in_flight = {}, {}  # by the instance's id; by attempt
@@ -218,7 +233,9 @@
             del self.attempts_in_flight[in_flight.attempt]
             clean = end in (interface.SUCCEEDED, interface.ERRED, interface.REJECTED, interface.NOT_SENT)
             keep = clean and not (in_flight.begun and in_flight.cancelled)
-            more = keep and connection is not None and not connection.reader.empty()
+            more = (
+                keep and connection is not None and (connection.out_of_step or not connection.reader.empty())
+            )
             if connection is not None and keep and not more and not pool.closed:
                 if (
                     end == interface.NOT_SENT
@@ -288,7 +305,7 @@
             if in_flight.cancelled:
                 self.abort(in_flight)
         try:
-            value = in_flight.connection.read(in_flight.until)
+            value = self.read_response(in_flight)
         except TimeoutError:
             return interface.TIMED_OUT, None
         except resp.Malformed:
@@ -297,6 +314,29 @@
             return interface.CANCELLED if in_flight.cancelled else interface.RESET, None
         return classify_response(value)
 
+    def read_response(self, in_flight):
+        """Returns the response to this attempt. One that equals the response before it on the connection may
+        be a late second copy of that. Responses come in the order of the commands, so a command that runs
+        nothing tells them apart: what precedes its own response answers this attempt or is a copy. Raises as
+        `Connection.read`, and Malformed if an error may belong to either command."""
+        connection = in_flight.connection
+        value = connection.read(in_flight.until)
+        if (seen := resp.fingerprint(value)) == connection.last_response:
+            self.counters.add("responses confirmed")
+            connection.write(self.marker, in_flight.until)
+            following = value
+            while seen == connection.last_response:
+                following = connection.read(in_flight.until)
+                seen = resp.fingerprint(following)
+            if seen != self.marker_response:
+                self.counters.add("late responses skipped")
+                connection.out_of_step = True
+                if isinstance(following, resp.Fault) and following.startswith(b"ERR"):
+                    raise resp.Malformed("an error that may belong to either of two commands")
+                value = following
+        connection.last_response = resp.fingerprint(value)
+        return value
+
     def get_connection(self, in_flight):
         """Gives the attempt the longest unused connection, or makes a new one. Returns whether it is new, or
         None if the limit allows none. The longest unused one is the least likely to bring a late response."""
--- a/lemonlead/gateway/resp.py
+++ b/lemonlead/gateway/resp.py
@@ -18,6 +18,13 @@
     """An error."""
 
 
+def fingerprint(value):
+    """Returns a number that is the same for equal values. It differs for others, but for a chance of 1 in
+    2 ** 64."""
+    content = tuple(map(fingerprint, value)) if type(value) is list else value
+    return hash((type(value), content))
+
+
 class Reader:
     """Parses values. Bytes go into `buffer`; `next` returns the values. With `commands`, only arrays of bulk
     strings are accepted, as clients send them."""
--- a/lemonlead/standins/instances.py
+++ b/lemonlead/standins/instances.py
@@ -9,24 +9,32 @@
 from .server import Server
 
 
+# The responses to commands that run nothing, by the command's name.
+CONNECTION_COMMANDS = {b"PING": b"+PONG\r\n", b"SELECT": b"+OK\r\n", b"CLIENT": b"+OK\r\n"}
+
+
 class InstanceServer(Server):
     """Answers each command with the bytes that `react(words)` returns; None ends the connection.
 
-    `got`: the commands received.
+    `got`: the commands received, but for those that run nothing, whose names are in `connection_commands`.
     """
 
     def __init__(self, react=None, **more):
         super().__init__(**more)
         self.react = react or (lambda words: value_response(words[1]))
-        self.got = []
+        self.got, self.connection_commands = [], []
 
     def serve(self, sock):
         reader = resp.Reader(commands=True)
         while data := sock.recv(65536):
             reader.buffer.add(data)
             while (words := reader.next()) is not resp.MORE:
-                self.got.append(words)
-                if (answer := self.react(words)) is None:
+                if (answer := CONNECTION_COMMANDS.get(words[0].upper())) is not None:
+                    self.connection_commands.append(words[0])
+                else:
+                    self.got.append(words)
+                    answer = self.react(words)
+                if answer is None:
                     return
                 sock.sendall(answer)
 
@@ -66,8 +74,6 @@
         self.react = self.answer
 
     def answer(self, words):
-        if words[0].upper() == b"PING":
-            return b"+PONG\r\n"
         fields = dict(pair.split("=", 1) for pair in words[3].decode().split(","))
         if self.silent.is_set():
             time.sleep(float(fields.get("d", 1000)) / 1e3)
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -16,7 +16,7 @@
 from lemonlead.gateway.instances import Connection, Instances
 from lemonlead.gateway.thread_pool import ThreadPool
 from lemonlead.standins.fleet import SETTINGS
-from lemonlead.standins.instances import InstanceServer, value_response
+from lemonlead.standins.instances import CONNECTION_COMMANDS, InstanceServer, value_response
 from lemonlead.standins.server import Server, until
 from lemonlead.start_settings import start_from_settings
 
@@ -223,6 +223,88 @@
     assert len(server.connections) == 2 and connection.sock.fileno() < 0 and len(server.got) == 2
 
 
+def send_before_next_write(monkeypatch, server, connection, *late):
+    """Lets these responses arrive after the last check of the connection, before the next command."""
+    write, left = Connection.write, list(late)
+
+    def written(self, data, until):
+        while left and self is connection:
+            server.connections[0].sendall(left.pop())
+            arrived(connection.sock)
+        write(self, data, until)
+
+    monkeypatch.setattr(Connection, "write", written)
+    monkeypatch.setattr(instances, "time", SimpleNamespace(sleep=lambda seconds: None))
+
+
+ONE_SHOT = 2  # a request class
+
+
+ONE_ATTEMPT = {"AttemptsCap": 1}.items()  # for each request
+
+
+def connection_after_one_attempt(made):
+    """Returns the connection that has carried one attempt, whatever that got."""
+    made.run_timer()
+    made.wait_for_answer(made.ask(request_class=ONE_SHOT))
+    made.wait_until_ended()
+    (connection,) = made.unused()
+    return connection
+
+
+@pytest.mark.parametrize("copies", [1, 2])
+@pytest.mark.parametrize("response", [value_response(b"0"), b"-BUSY\r\n", b"-BUSY 7\r\n", b"-ERR failed\r\n"])
+def test_second_response_that_comes_after_the_last_check_answers_no_other_request(
+    gateway, monkeypatch, response, copies
+):
+    """Guards against a connection that is out of step: each request on it would get the response to the one
+    before it, and one that ran would be sent again after a -BUSY that was not its own."""
+    server = InstanceServer(lambda words: response if words[1] == b"0" else value_response(words[1]))
+    made = gateway(server.start(), limits=ONE_ATTEMPT)
+    connection = connection_after_one_attempt(made)
+    send_before_next_write(monkeypatch, server, connection, *[response] * copies)
+    assert made.wait_for_answer(made.ask(request_class=ONE_SHOT)) == b"$1\r\n1\r\n"
+    made.wait_until_ended()
+    assert [words[1] for words in server.got] == [b"0", b"1"]  # each ran once
+    assert connection not in made.unused() and connection.sock.fileno() < 0
+
+
+@pytest.mark.parametrize("may_probe, marker", [(False, b"PING"), (True, b"SELECT")])
+def test_equal_responses_to_two_requests_are_both_passed_on(gateway, may_probe, marker):
+    """Guards against values lost because they equal the one before them, and against probes that cost."""
+    server = InstanceServer(lambda words: value_response(b"same"))
+    made = gateway(server.start(), limits={"Probes": may_probe}.items())
+    for _ in range(3):
+        assert made.wait_for_answer(made.ask(request_class=ONE_SHOT)) == b"$4\r\nsame\r\n"
+        made.wait_until_ended()
+    assert len(server.connections) == 1 and server.connection_commands == [marker] * 2
+
+
+def test_error_that_may_belong_to_either_command_counts_as_possibly_run(gateway, monkeypatch):
+    """Guards against a one-shot request that is sent again because another command's error was taken for
+    its own."""
+    monkeypatch.setitem(CONNECTION_COMMANDS, b"PING", b"-ERR not now\r\n")
+    made = gateway(server := InstanceServer(lambda words: b"-BUSY\r\n").start(), limits=ONE_ATTEMPT)
+    connection_after_one_attempt(made)
+    ask = made.ask(request_class=ONE_SHOT)
+    assert made.wait_for_answer(ask) == b"-ERR aborted\r\n"
+    made.wait_until_ended()
+    assert [words[1] for words in server.got] == [b"0", b"1"] and not made.unused()
+
+
+def test_response_is_acknowledged_before_the_next_request(gateway):
+    """Guards against a second copy that the instance's system holds back until the next request, because the
+    first one is not acknowledged (Nagle's algorithm and delayed acknowledgements)."""
+    unacknowledged = 24  # the offset in `struct tcp_info`
+    made = gateway(server := InstanceServer().start())
+    for _ in range(40):  # the kernel delays no acknowledgements at the start of a connection
+        made.wait_for_answer(made.ask())
+        made.wait_until_ended()
+        info = server.connections[0].getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 28)
+        assert info[unacknowledged : unacknowledged + 4] == bytes(4)
+    assert len(server.connections) == 1
+
+
 @pytest.mark.parametrize("rested, wait", [(0, 10), (4, 6), (10, 0), (11, 0)])
 def test_connection_waits_for_the_rest_of_its_reuse_delay(gateway, monkeypatch, rested, wait):
     made, slept = gateway(InstanceServer().start()), []
