Clients: a connection is in use until the client's system has taken all of its answers

Cause: Client.is_idle and is_done counted an answer as given once our kernel had its bytes. After Client.close the next byte from the client makes the kernel reset the connection and drop what it has not sent. Ruled out: without a next request nothing is lost.

Change: SIOCOUTQ tells what is not acknowledged; until that is nothing the connection is neither idle nor closed, for rest, room, SIGTERM, aborted late requests and malformed input, and what comes is answered.

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -14,7 +14,7 @@
 from . import resp
 from .admission import is_stale
 from .config import now
-from .sockets import hung_up, seconds, unread_for
+from .sockets import hung_up, seconds, unacknowledged_bytes, unread_for
 
 # Of one client; past either limit nothing more is read from it.
 MAX_PENDING_REQUESTS = 64
@@ -42,7 +42,7 @@
 MAX_DISCARDED_BYTES = 1 << 18
 MAX_DISCARD_SECONDS = 0.2
 HANGUP_CHECK_SECONDS = 0.05  # between checks for a hangup while nothing is read from the client
-PARTIAL_COMMAND_POLL_SECONDS = 0.01  # between reads of a partial command after our SHUT_RD
+ENDING_POLL_SECONDS = 0.01  # between reads and checks of a connection that the gateway is ending
 # The delay before more is read after an invalid command; it grows with each one.
 PENALTY_SECONDS = 0.1
 MAX_PENALTY_SECONDS = 1.0
@@ -86,7 +86,9 @@
         self.reason = None  # why the gateway ends the connection
         self.is_draining = False
         self.broken = False  # nothing more can be sent
-        self.last_response_at = time.monotonic()  # when bytes of a response were last sent or queued
+        # When bytes of a response were last sent or queued, or last seen not acknowledged.
+        self.last_response_at = time.monotonic()
+        self.untaken_bytes, self.untaken_since = 0, 0.0  # of responses, and since when it is that number
         self.partial_since = None  # when the current partial command was first seen
         self.has_sent_command = False  # a whole command has arrived
         self.invalid_commands = 0  # invalid commands
@@ -113,20 +115,21 @@
         while True:
             if self.is_draining:
                 with self.condition:
-                    self.condition.wait_for(lambda: not (self.pending_requests or self.unsent) or self.broken)
+                    self.wait_until(lambda: not (self.pending_requests or self.unsent))
+                while not (self.broken or self.has_taken_all()):
+                    time.sleep(ENDING_POLL_SECONDS)
+                    self.check_progress()
                 return self.reason
             try:
                 count = self.reader.buffer.fill(self.sock.recv_into)
             except BlockingIOError:  # nothing arrived within READ_TIMEOUT_SECONDS
+                self.check_progress()
                 self.end_if_idle()
             else:
                 if not count and (self.reason is None or self.broken or self.is_done()):
                     return self.reason or CLIENT_CLOSED
-                if not count:  # the gateway ends the connection; the client may not have known when it sent
-                    with self.condition:
-                        self.wait_until(lambda: not (self.pending_requests or self.unsent))
-                    if not self.reader.empty():
-                        time.sleep(PARTIAL_COMMAND_POLL_SECONDS)  # the rest of a command is on its way
+                if not count and self.wait_while_ending():
+                    return self.reason
             while (words := self.reader.next()) is not resp.MORE:
                 with self.condition:
                     if self.has_hung_up():  # while the connection or the command waited
@@ -136,10 +139,42 @@
             self.check_partial_command()
 
     def is_done(self):
-        """Returns whether nothing is left to answer. A partial command counts as left, since its rest will
-        arrive."""
+        """Returns whether nothing is left to answer and the client's system has all responses. A partial
+        command counts as left, since its rest will arrive."""
         with self.condition:
-            return not (self.pending_requests or self.unsent) and self.reader.empty()
+            return self.has_taken_all() and self.reader.empty()
+
+    def wait_while_ending(self):
+        """Waits for responses, the rest of a command or the client's system, while the gateway ends the
+        connection. Returns whether it may be closed. Otherwise more is read, because the client may not have
+        known of the end when it sent. What arrives with the last acknowledgement is not read, and the client
+        sends it again on a new connection: one that sends without pause would never be done."""
+        with self.condition:
+            if self.pending_requests or self.unsent:
+                self.wait_until(lambda: not (self.pending_requests or self.unsent))
+                return False
+        time.sleep(ENDING_POLL_SECONDS)
+        self.check_progress()
+        return self.is_done()
+
+    def has_taken_all(self):
+        """Returns whether the client's system has all responses. Until then the connection is in use: after a
+        close, the next bytes from the client would make our kernel reset the connection and drop the rest of
+        a response."""
+        return not (self.pending_requests or self.unsent or unacknowledged_bytes(self.sock))
+
+    def check_progress(self):
+        """Ends the connection if the client's system has taken no byte of its responses for
+        SEND_TIMEOUT_SECONDS. The connection counts as idle only from when all are taken."""
+        with self.condition:
+            untaken, time_now = len(self.unsent) + unacknowledged_bytes(self.sock), time.monotonic()
+            if untaken != self.untaken_bytes:
+                self.untaken_bytes, self.untaken_since = untaken, time_now
+            if not untaken:
+                return
+            self.last_response_at = time_now
+        if time_now - self.untaken_since >= SEND_TIMEOUT_SECONDS:
+            self.end("slow reader")
 
     def end_if_idle(self):
         """Ends the connection if it has been idle, or without a first command, for too long. What has arrived
@@ -155,7 +190,7 @@
             is_expired = time.monotonic() - self.last_response_at >= (
                 max_idle if self.has_sent_command else MAX_COMMAND_SECONDS
             )
-            if is_expired and not (self.pending_requests or self.unsent) and self.reader.empty():
+            if is_expired and self.has_taken_all() and self.reader.empty():
                 self.shut_down_reading("rest" if self.has_sent_command else "silent")
 
     def check_partial_command(self):
@@ -260,7 +295,7 @@
             self.server.dispatcher.handle(self.server.dispatcher.abort_requests, requests)
         self.enqueue(PendingRequest(self, (), resp.error(f"ERR {error}")))
         with self.condition, contextlib.suppress(OSError):
-            self.wait_until(lambda: not (self.pending_requests or self.writing), SEND_TIMEOUT_SECONDS)
+            self.wait_until(self.has_taken_all, SEND_TIMEOUT_SECONDS)
             self.sock.shutdown(socket.SHUT_WR)
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, seconds(MAX_DISCARD_SECONDS / 2))
         # A close with unread bytes would reset the connection, and the client might not read the error.
@@ -488,7 +523,7 @@
         if not self.idle_clients or time_now > self.idle_clients_until:
             with self.condition:
                 clients = list(self.clients)
-            idle = [client for client in clients if client.is_idle()]
+            idle = [client for client in clients if client.is_idle() and client.has_taken_all()]
             idle.sort(key=lambda client: (not client.is_suspect(), client.last_response_at))
             self.idle_clients, self.idle_clients_until = deque(idle), time_now + MIN_IDLE_SECONDS_SUSPECT
         while self.idle_clients:
--- a/lemonlead/gateway/sockets.py
+++ b/lemonlead/gateway/sockets.py
@@ -1,15 +1,17 @@
 """What Linux reports about a connection, and socket timeouts in the kernel's format."""
 
 import contextlib
+import fcntl
 import select
 import socket
 import struct
+import termios
 
 # Linux's `struct tcp_info`: the offset of the milliseconds since the last data arrived, and the length needed
 # to include it.
 LAST_DATA_RECEIVED_OFFSET = 52
 INFO_LENGTH = 56
-# The offset of the TCP state, and two of its values.
+# The offset of the TCP state, and some of its values.
 STATE_OFFSET = 0
 CLOSE = 7
 CLOSE_WAIT = 8
@@ -46,6 +48,14 @@
     return bool(info) and info[STATE_OFFSET] in (CLOSE, CLOSE_WAIT)
 
 
+def unacknowledged_bytes(sock):
+    """Returns how many of the bytes that the kernel has accepted from us the peer's kernel has not
+    acknowledged. Returns 0 if the kernel does not provide it."""
+    with contextlib.suppress(OSError, ValueError):
+        return struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))[0]
+    return 0
+
+
 def readable(sock, wait=0.0):
     """Returns whether the socket has unread data or has reached its end. Waits for that for at most `wait`
     seconds. Returns False for a socket that another thread closes meanwhile."""
--- a/lemonlead/standins/clients.py
+++ b/lemonlead/standins/clients.py
@@ -13,10 +13,14 @@
 
 
 class Client:
-    """A connection to a gateway."""
-
-    def __init__(self, port):
-        self.sock = socket.create_connection(("127.0.0.1", port), 60)
+    """A connection to a gateway. `receive_buffer`: the bytes that its system takes before it reads them."""
+
+    def __init__(self, port, receive_buffer=None):
+        self.sock = socket.socket()
+        self.sock.settimeout(60)
+        if receive_buffer is not None:  # before connecting, because it limits the window
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.sock.connect(("127.0.0.1", port))
         self.reader = resp.Reader()
 
     def write(self, data):
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -43,8 +43,8 @@
 def gateway(tmp_path, *servers, limits=None, entries=None, **settings):
     """Runs a gateway in this process with these instances, all on loopback. Yields `gateway_server`,
     `dispatcher`, `log`, `thread`, `count(name)` for counters, `change_list(*entries)` as by discovery,
-    `client()`, which connects a client and waits until it is accepted, and `ours(client)`, the gateway's
-    side of that connection."""
+    `client(**more)`, which connects a client and waits until it is accepted, and `ours(client)`, the
+    gateway's side of that connection."""
     known = entries or [entry(f"i{n}", server) for n, server in enumerate(servers)]
     config = {
         "name": "g0",
@@ -73,8 +73,8 @@
     thread.start()
     port, made = gateway_server.listener.getsockname()[1], []
 
-    def client():
-        made.append(Client(port))
+    def client(**more):
+        made.append(Client(port, **more))
         until(lambda: ours(made[-1]))
         return made[-1]
 
@@ -665,6 +665,104 @@
         assert ours.last_response_at >= resumed
 
 
+# ---- responses that the client has not taken
+
+LARGE = b"x" * 60_000
+
+
+class SlowReader:
+    """A client whose system has not taken all of its response. `looked` is set once the gateway has seen that
+    after `watch` was called."""
+
+    def __init__(self, ran, monkeypatch):
+        self.ran, self.looked, self.watching = ran, threading.Event(), False
+        self.client = ran.client(receive_buffer=4096)
+        self.ours = ran.ours(self.client)
+        count = getattr(clients, "unacknowledged_bytes", lambda sock: 0)
+
+        def counted(sock):
+            if (found := count(sock)) and self.watching and sock is self.ours.sock:
+                self.looked.set()
+            return found
+
+        monkeypatch.setattr(clients, "unacknowledged_bytes", counted, raising=False)
+        self.client.ask(b"large")
+        until(lambda: self.ours.has_had_response and not self.ours.unsent)
+
+    def wait_until_closed_or_seen(self):
+        until(lambda: self.ours.sock.fileno() < 0 or self.looked.is_set())
+
+
+def stop(slow):
+    slow.ran.gateway_server.stopping = True
+    slow.ours.close_when_idle("stopping")
+
+
+def make_room(slow):
+    if picked := slow.ran.gateway_server.pick_idle_client(0):
+        picked.close_when_idle("made room")
+
+
+def abort(slow):
+    slow.client.ask(b"held")
+    until(lambda: slow.ours.pending_requests)
+    slow.ran.gateway_server.abort_requests_after(0)
+
+
+def break_off(slow):
+    slow.client.write(b"noise\r\n")
+
+
+def rest(slow):
+    pass  # the shortened idle time ends the connection
+
+
+@pytest.mark.parametrize("end", [stop, make_room, abort, break_off, rest])
+def test_response_that_is_being_read_is_not_cut_off_by_the_next_request(tmp_path, monkeypatch, end):
+    """Guards against a response lost to callers that read slowly: the gateway closed with a part of it not
+    acknowledged, and the next bytes from the client made the kernel reset the connection."""
+    held = threading.Event()
+    server = InstanceServer(
+        lambda words: held.wait(60) and None if words[1] == b"held" else value_response(LARGE)
+    )
+    with gateway(tmp_path, server.start()) as ran:
+        slow = SlowReader(ran, monkeypatch)
+        if end is rest:
+            monkeypatch.setattr(clients, "MAX_IDLE_SECONDS", 0.0)
+        slow.watching = True
+        end(slow)
+        slow.wait_until_closed_or_seen()
+        with contextlib.suppress(OSError):
+            slow.client.ask(b"next")
+        assert slow.client.read() == LARGE
+        held.set()
+        if end is stop:  # sent before the client could know of the end
+            assert slow.client.read() == LARGE and slow.client.read() is None
+
+
+@pytest.mark.parametrize("end", [stop, break_off])
+def test_client_that_takes_nothing_is_ended_in_time(tmp_path, monkeypatch, end):
+    """Guards against connections that readers which never read hold for good."""
+    monkeypatch.setattr(clients, "SEND_TIMEOUT_SECONDS", 0.3)
+    with gateway(tmp_path, InstanceServer(lambda words: value_response(LARGE)).start()) as ran:
+        slow = SlowReader(ran, monkeypatch)
+        end(slow)
+        until(lambda: not ran.gateway_server.clients)
+        assert ran.client().ask(b"other").read() == LARGE
+
+
+def test_client_that_sends_without_pause_is_ended_at_stop(tmp_path):
+    """Guards against a stop held up by a client whose next request acknowledges its last response."""
+    with gateway(tmp_path, InstanceServer().start()) as ran:
+        client = ran.client()
+        assert client.ask().read() == b"aa"
+        ran.gateway_server.stopping = True
+        with contextlib.suppress(OSError):
+            while client.ask().read() == b"aa":
+                pass
+        until(lambda: not ran.gateway_server.clients)
+
+
 # ---- one id in two requests
 
 
