Clients: a slow reader is one that took no byte in between, not one with as many under way

Cause: Client.check_progress compared how many bytes are under way at two checks; answers of one size, 5 s apart, look alike though all was taken in between. Change: it compares how many were taken in all (sent less not acknowledged), and forgets that while nothing is under way, so that two equal counts mean that nothing was taken from one check to the other.

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -88,7 +88,10 @@
         self.broken = False  # nothing more can be sent
         # When bytes of a response were last sent or queued, or last seen not acknowledged.
         self.last_response_at = time.monotonic()
-        self.untaken_bytes, self.untaken_since = 0, 0.0  # of responses, and since when it is that number
+        self.sent_bytes = 0  # of responses, to the kernel
+        # How many of them the client's system had as `check_progress` found more under way, and when it first
+        # found that many; none while nothing is under way.
+        self.taken_bytes, self.taken_at = None, 0.0
         self.partial_since = None  # when the current partial command was first seen
         self.has_sent_command = False  # a whole command has arrived
         self.invalid_commands = 0  # invalid commands
@@ -167,13 +170,14 @@
         """Ends the connection if the client's system has taken no byte of its responses for
         SEND_TIMEOUT_SECONDS. The connection counts as idle only from when all are taken."""
         with self.condition:
-            untaken, time_now = len(self.unsent) + unacknowledged_bytes(self.sock), time.monotonic()
-            if untaken != self.untaken_bytes:
-                self.untaken_bytes, self.untaken_since = untaken, time_now
-            if not untaken:
+            time_now, unacknowledged = time.monotonic(), unacknowledged_bytes(self.sock)
+            if not (self.unsent or unacknowledged):
+                self.taken_bytes = None
                 return
+            if (taken := self.sent_bytes - unacknowledged) != self.taken_bytes:
+                self.taken_bytes, self.taken_at = taken, time_now
             self.last_response_at = time_now
-        if time_now - self.untaken_since >= SEND_TIMEOUT_SECONDS:
+        if time_now - self.taken_at >= SEND_TIMEOUT_SECONDS:
             self.end("slow reader")
 
     def end_if_idle(self):
@@ -343,13 +347,17 @@
             self.last_response_at = time.monotonic()
             if self.unsent and not self.writing:
                 with contextlib.suppress(OSError):
-                    del self.unsent[: self.sock.send(self.unsent, socket.MSG_DONTWAIT)]
+                    self.remove_sent(self.sock.send(self.unsent, socket.MSG_DONTWAIT))
                 if self.unsent and not self.broken:
                     self.write_later()
             self.condition.notify_all()
         if self.server.stopping:
             self.close_when_idle("stopping")
 
+    def remove_sent(self, count):
+        del self.unsent[:count]
+        self.sent_bytes += count
+
     def write_later(self):
         try:
             self.writing = True
@@ -374,7 +382,7 @@
                 self.end(RESET)
             else:
                 with self.condition:
-                    del self.unsent[:sent]
+                    self.remove_sent(sent)
                     self.last_response_at = time.monotonic()
                     self.condition.notify_all()
 
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -751,6 +751,23 @@
         assert ran.client().ask(b"other").read() == LARGE
 
 
+def test_client_that_takes_each_response_is_no_slow_reader(tmp_path, monkeypatch):
+    """Guards against clients ended because two checks, long apart, both found a response of the same size
+    under way. Between them all was taken."""
+    clock = [1000.0]
+    monkeypatch.setattr(clients, "READ_TIMEOUT_SECONDS", 60.0)  # the test makes the checks
+    monkeypatch.setattr(clients, "unacknowledged_bytes", lambda sock: 8, raising=False)
+    monkeypatch.setattr(clients, "time", SimpleNamespace(monotonic=lambda: clock[0], sleep=time.sleep))
+    with gateway(tmp_path, InstanceServer().start()) as ran:
+        client = ran.client()
+        ours = ran.ours(client)
+        for _ in range(3):
+            assert client.ask().read() == b"aa"
+            ours.check_progress()
+            clock[0] += clients.SEND_TIMEOUT_SECONDS
+        assert client.ask().read() == b"aa" and not ours.broken
+
+
 def test_client_that_sends_without_pause_is_ended_at_stop(tmp_path):
     """Guards against a stop held up by a client whose next request acknowledges its last response."""
     with gateway(tmp_path, InstanceServer().start()) as ran:
