--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,7 @@
 PARALLEL = """
     balance capacity_fleet dispatcher distribution_simulated drains expressions fleet_logs ledger_state
     list_changes member_told
-    moves oncall parsers planning replica rules settings simulated simulated_faults simulated_whole
+    moves oncall parsers planning replica rules settings simulated simulated_faults simulated_whole unheard
 """
 PARALLEL = {f"test_{name}.py" for name in PARALLEL.split()}
 OUTSIDE = {"socket.__new__", "subprocess.Popen", "os.fork", "os.forkpty", "os.posix_spawn", "os.system"}
@@ -96,6 +96,11 @@
 @pytest.hookimpl(tryfirst=True)  # before any are deselected
 def pytest_collection_modifyitems(session, config, items):
     for item in items:
+        if item.path.name not in PARALLEL and item.get_closest_marker("parallel") is not None:
+            # Neither of CI's two runs would collect it.
+            raise pytest.UsageError(
+                f"{item.nodeid} is marked `parallel`, but PARALLEL does not name its file"
+            )
         if item.path.name in PARALLEL and item.get_closest_marker("serial") is None:
             item.add_marker("parallel")
     found = {item.nodeid: item for item in items}
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -177,6 +177,12 @@
     assert code == 0 and "2 passed" in printed
 
 
+def test_file_that_neither_run_of_ci_collects_is_an_error(pytester):
+    tests = "import pytest\n\npytestmark = pytest.mark.parallel\n\ndef test_right():\n    pass\n"
+    code, printed = Project(pytester, "serial", tests).run("-m", "not parallel")
+    assert code != 0 and "PARALLEL does not name its file" in printed
+
+
 def test_ci_runs_the_command_in_the_readme():
     (command,) = re.findall(r"^    (\S+ruff check .*)$", (ROOT / "README.md").read_text(), re.MULTILINE)
     assert "-m parallel" in command and '-m "not parallel"' in command
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -18,7 +18,6 @@
 from lemonlead.records import InstanceState
 from test_standing import driver
 
-pytestmark = pytest.mark.parallel
 RULES = {"ask_for_list": True, "max_unconfirmed_list_age": MAX_LIST_DELAY_NS, "balancers": 100}
 
 
