Lists: nothing is sent 5.5 s after the last call for the list, whatever instances answer

Cause: after a 503 the next call waits up to 16 s, and the age past which a list may not be used was 0 (no bound) where lists are pushed.

Change: the age binds in both. Past 5.5 s after the last call that was served, refused or turned away no instance is used: a call in vain shows that discovery could not be reached, and what it has counts 6 s later. Where lists are asked for the proof by answers is wanted besides, as before. Where a call in vain holds the list, the next one comes after 5 s at most (call_pauses.py).

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -193,7 +193,9 @@
         self.max_unconfirmed_list_age = (
             start.max_unconfirmed_list_age - PROPAGATION_GRACE if start.max_unconfirmed_list_age else inf
         )
+        self.turned_away_calls_confirm = start.turned_away_calls_confirm
         self.list_current_at = -inf  # the list contains all changes made until this time
+        self.list_turned_away_at = -inf  # when discovery last ended a call without a list
 
         # The open pair, the release votes and the connections.
         self.pair_started_at = None
@@ -250,9 +252,14 @@
         self.ring = self.instances.arc(self.builds.values())
         self.update_trial()
 
-    def list_failed(self, now, current):
-        """A call for the list failed, or the watch of it ended; the list was current up to `current`."""
+    def list_failed(self, now, current, turned_away=False):
+        """A call for the list failed, or the watch of it ended; the list was current up to `current`.
+
+        `turned_away` says that discovery took the call and ended it without a list.
+        """
         self.list_current_at = current if self.list_current_at == inf else max(current, self.list_current_at)
+        if turned_away:
+            self.list_turned_away_at = now
         # After a failed call the rule of max_list_call_gap allows four times that gap until the next call. At
         # most half of that is used.
         longest = min(900 * MS, 2 * self.max_list_call_gap or 900 * MS)
@@ -750,20 +757,24 @@
     def listing_valid(self, instance, now):
         """Returns whether the instance is ready as far as this balancer has to know.
 
-        This guards against drains of which discovery could not inform this gateway. If a connection has been
-        open since the list was last certain to be complete, and the instance answered on it at time t, then
-        the instance had not been drained by DRAIN_ANSWER_TIME before t. With an old list no instance may be
-        usable.
+        This guards against drains of which discovery could not inform this gateway. The gateway must at least
+        have asked in vain of late, because a draining instance may serve on for any time. Where that does
+        not confirm the list, the instance must not have drained either: if a connection has been open since
+        the list was last certain to be complete, and the instance answered on it at time t, then it had not
+        been drained by DRAIN_ANSWER_TIME before t. With an old list no instance may be usable.
         """
+        asked_at = max(self.list_current_at, self.list_turned_away_at)
+        if not instance.ready or now - asked_at > self.max_unconfirmed_list_age:
+            return False
+        if self.turned_away_calls_confirm:
+            return True
         proven_until = (
             instance.proven_up_until(
                 max(self.list_current_at, now - self.max_unconfirmed_list_age - PROPAGATION_GRACE)
             )
             - DRAIN_ANSWER_TIME
         )
-        return (
-            instance.ready and now - max(self.list_current_at, proven_until) <= self.max_unconfirmed_list_age
-        )
+        return now - max(self.list_current_at, proven_until) <= self.max_unconfirmed_list_age
 
     def write_deadline(self, now, attempt):
         """Returns by when the last byte of an attempt has to be written, or 0 if it may not begin.
--- a/lemonlead/gateway/config.py
+++ b/lemonlead/gateway/config.py
@@ -172,7 +172,7 @@
         start, request_classes, tenants, settings = settings_of(config, seed_of(config))
         start.ask_for_list = True  # on sockets, discovery sends the list only to those that ask for it
         pushed = settings.values.get("Discovery") != "ask"
-        start.max_unconfirmed_list_age = 0 if pushed else MAX_LIST_DELAY_NS
+        start.max_unconfirmed_list_age, start.turned_away_calls_confirm = MAX_LIST_DELAY_NS, pushed
         api, known = optional_part(config, "release_api"), optional_part(config, "known")
         connections, memory = limits_of(config)
         return Config(
--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -8,8 +8,9 @@
 from .. import interface
 from ..start_settings import ms_to_ns
 from . import http
+from .call_pauses import max_crowded_pause_seconds
 from .config import MAX_LIST_DELAY_NS, address, now
-from .managed_connection import MAX_CROWDED_PAUSE_SECONDS, ManagedConnection, read_until
+from .managed_connection import ManagedConnection, read_until
 from .sockets import readable
 
 # The time after a change of address from which the balancer is assumed to have the new service's list.
@@ -26,12 +27,9 @@
         self.config, self.dispatcher, self.log, self.counters = config, dispatcher, log, counters
         self.list_requested = threading.Event()
         self.version = -1
-        # The pause comes on top of the balancer's own. After a failed call the rule of max_list_call_gap
-        # allows four times that gap until the next call.
-        max_crowded_pause = min(
-            config.start.max_list_call_gap / 1e9 or MAX_CROWDED_PAUSE_SECONDS, MAX_CROWDED_PAUSE_SECONDS
+        self.connection = ManagedConnection(
+            config.discovery, config.start.seed, 0.05, 1.0, max_crowded_pause_seconds(config.start)
         )
-        self.connection = ManagedConnection(config.discovery, config.start.seed, 0.05, 1.0, max_crowded_pause)
         # Set once a list has arrived, or a watch has ended for another reason than too many callers.
         self.first_result = threading.Event()
         self.source = config.discovery  # the address of the service whose versions we know
@@ -69,8 +67,9 @@
                 )
             elif reason in ("refused", "unreachable") or self.watch_started and reason in ("closed", "reset"):
                 self.current_as_of = now()  # changes from now on have not been sent to us
+            turned_away = reason == "unavailable" or reason in ("closed", "reset") and not self.watch_started
             # Reported before the pause, during which the list already ages.
-            self.dispatcher.handle(self.dispatcher.balancer.list_failed, self.current_as_of)
+            self.dispatcher.handle(self.dispatcher.balancer.list_failed, self.current_as_of, turned_away)
             self.connection.pause_before_retry(crowded=reason == "unavailable")
 
     def watch(self):
--- a/lemonlead/gateway/managed_connection.py
+++ b/lemonlead/gateway/managed_connection.py
@@ -6,7 +6,8 @@
 import threading
 import time
 
-MAX_CROWDED_PAUSE_SECONDS = 16.0  # after a server that had too many callers
+from .call_pauses import MAX_CROWDED_PAUSE_SECONDS
+
 # The first pause after such a server. After a shorter one, all callers that were not served would fill
 # the server's queue again immediately.
 MIN_CROWDED_PAUSE_SECONDS = 2.0
--- a/lemonlead/interface.py
+++ b/lemonlead/interface.py
@@ -108,6 +108,9 @@
     # The longest time for which the list may be used without confirmation. Afterwards the gateway counts as
     # knowing what discovery knows, received or not; 0: it only counts as knowing what it has received.
     max_unconfirmed_list_age: int = 0
+    # A call that discovery turns away confirms the list: what discovery has counts as known only from when it
+    # serves calls.
+    turned_away_calls_confirm: bool = False
     attempts_cap: int = 1  # attempts that a request may get
     may_cancel: bool = False
     may_duplicate: bool = False  # a request may have several attempts in flight
--- a/tests/test_any_settings.py
+++ b/tests/test_any_settings.py
@@ -302,7 +302,7 @@
 
 
 class Lazy(Balancer):
-    def list_failed(self, now, current):
+    def list_failed(self, now, current, turned_away=False):
         self.list_call_at = now + 60_000_000_000
 
 
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -780,6 +780,28 @@
         until(lambda: not ran.gateway_server.clients)
 
 
+# ---- a list that discovery could not confirm
+
+
+@pytest.mark.parametrize("mode", ["push", "ask"])
+def test_nothing_is_sent_by_a_list_that_has_not_been_asked_for_in_time(tmp_path, mode):
+    """Guards against requests to what drains, lost as it ends: after a crowded discovery the next call waits
+    up to 16 s, and where lists are pushed the gateway sent by its old list all the time."""
+    with gateway(tmp_path, server := InstanceServer().start(), Discovery=mode) as ran:
+        client = ran.client()
+        assert client.ask().read() == b"aa"
+
+        def fail(time_now):
+            ran.dispatcher.balancer.list_failed(time_now - configs.MAX_LIST_DELAY_NS, 0)
+            ran.dispatcher.balancer.list_current_at = time_now - configs.MAX_LIST_DELAY_NS
+            ran.dispatcher.balancer.list_call_at = None  # the next call is far away
+
+        ran.dispatcher.handle(fail)
+        assert client.ask(wait=300).read().startswith(b"BUSY") and len(server.got) == 1
+        ran.change_list()  # discovery answers
+        assert client.ask().read() == b"aa"
+
+
 # ---- one id in two requests
 
 
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -51,7 +51,7 @@
     def list_received(self, now, lines, whole, fresh):
         self.lists.append([row.id for row in lines])
 
-    def list_failed(self, now, current):
+    def list_failed(self, now, current, turned_away=False):
         self.failures.append(now)
 
     def stage_reported(self, now, *news):
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -100,7 +100,7 @@
     dispatcher = SimpleNamespace(instances=SimpleNamespace(pools={}, listed=lambda *_: None))
     dispatcher.balancer = SimpleNamespace(
         list_received=lambda now, lines, whole, fresh: lists.append([row.id for row in lines]),
-        list_failed=lambda now, current: failures.append(now),
+        list_failed=lambda now, current, turned_away: failures.append(now),
     )
     dispatcher.handle = lambda happened, *values: happened(NOW, *values)
     return Discovery(config, dispatcher, Quiet(), Counters()), lists, failures
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -13,9 +13,10 @@
 from helpers import MS, NOW, Dispatcher, balancer, line, request, request_class, sent
 from lemonlead import interface
 from lemonlead.balance import Balancer
-from lemonlead.gateway import managed_connection
+from lemonlead.gateway import call_pauses, managed_connection
 from lemonlead.gateway.config import MAX_LIST_DELAY_NS, now
 from lemonlead.records import InstanceState
+from lemonlead.standins.fleet import SETTINGS
 from test_standing import driver
 
 RULES = {"ask_for_list": True, "max_unconfirmed_list_age": MAX_LIST_DELAY_NS, "balancers": 100}
@@ -45,6 +46,7 @@
 def test_only_instances_proven_up_get_requests_without_news():
     made = without_watch()
     assert chosen_id(made, NOW + 5400 * MS) in (1, 2, 3)
+    made.list_failed(NOW + 5400 * MS, NOW, True)
     answer(made, made.instances[2], NOW + 4000 * MS, since=NOW - 1000 * MS)
     assert {chosen_id(made, NOW + 5600 * MS + n, n) for n in range(50)} == {2}
     assert chosen_id(made, NOW + 6400 * MS) == 2
@@ -67,9 +69,30 @@
     answer(made, made.instances[2], NOW + 4500 * MS, since=NOW + 4400 * MS)
     assert chosen_id(made, NOW + 5600 * MS) is None
     answer(made, made.instances[2], NOW + 8000 * MS, since=NOW + 4400 * MS)
+    made.list_failed(NOW + 9000 * MS, NOW, True)
     assert chosen_id(made, NOW + 10_300 * MS) is None and chosen_id(made, NOW + 10_450 * MS) == 2
 
 
+def test_answers_prove_nothing_without_a_call_of_late():
+    """Guards against requests to an instance that drains and serves on, for as long as the next call waits:
+    discovery may have been able to tell of it from the last call on."""
+    made = without_watch()
+    made.list_failed(NOW + 3000 * MS, NOW, True)
+    for at_ms in range(3000, 9000, 500):
+        answer(made, made.instances[2], NOW + at_ms * MS, since=NOW - 1000 * MS)
+    assert chosen_id(made, NOW + 8500 * MS) == 2 and chosen_id(made, NOW + 8600 * MS) is None
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_turned_away_call_confirms_a_pushed_list(ended):
+    """Where lists are pushed, a change counts as known 6 s after discovery had it and could be reached."""
+    made = balancer([line(1)], turned_away_calls_confirm=True, **RULES)
+    made.list_failed(NOW, NOW)
+    made.list_failed(NOW + 5000 * MS, NOW, ended)
+    assert (chosen_id(made, NOW + 5600 * MS) == 1) is ended
+    assert chosen_id(made, NOW + 10_600 * MS) is None
+
+
 def test_gap_between_connections_ends_the_proven_time():
     member = InstanceState(line(1), None, None, 0, 1.0, 0, 0)
     member.record_connection(10, 20)
@@ -137,7 +160,7 @@
     ):
         made, _, _ = driver()
         ages = []
-        made.dispatcher.balancer.list_failed = lambda time, held, ages=ages: ages.append(now() - held)
+        made.dispatcher.balancer.list_failed = lambda time, held, _, ages=ages: ages.append(now() - held)
         made.current_as_of = now() - 7000 * MS
         made.watch_started = watched
         made.list_requested.set()
@@ -152,7 +175,7 @@
         assert age <= ages[0] / MS < age + 1000, reason
     made, _, _ = driver()
     made.current_as_of = now()
-    made.dispatcher.balancer.list_failed = lambda time, held: ages.append(now() - held)
+    made.dispatcher.balancer.list_failed = lambda time, held, _: ages.append(now() - held)
     made.list_requested.set()
     made.connection.run = lambda work: ("moved", "")
     made.connection.pause_before_retry = over
@@ -206,7 +229,13 @@
             **{**RULES, "balancers": self.size},
         )
         gateway = self.gateways[number] = SimpleNamespace(
-            number=number, made=self.kind(start), up=True, pools={}, pause_until=0, calls=False
+            number=number,
+            made=self.kind(start),
+            up=True,
+            pools={},
+            pause_until=0,
+            calls=False,
+            turned_away_at=0,
         )
         gateway.connection = managed_connection.ManagedConnection(("127.0.0.1", 1), number, 0.05, 1.0, 10.0)
         gateway.connection.condition.wait_for = lambda moving, seconds: setattr(gateway, "pause", seconds)
@@ -296,12 +325,55 @@
     def failed(self, gateway):
         if gateway.up and gateway is self.gateways[gateway.number]:
             gateway.calls = False
-            gateway.made.list_failed(self.now, 0)
+            gateway.made.list_failed(self.now, 0, True)
+            gateway.turned_away_at = self.now
             gateway.connection.pause_before_retry(crowded=True)
             gateway.pause_until = self.now + int(gateway.pause * 1e9)
             self.decide(gateway)
 
 
+class ServingFleet(Fleet):
+    """The instances that drain as discovery returns serve on for good, and none comes back. A drain counts as
+    known six seconds after the gateway's last call in vain.
+    """
+
+    AGAIN = Fleet.END
+    SERVES_ON = Fleet.END
+
+    def attempt(self, gateway, attempt):
+        reached_at = max(NOW + self.DOWN, gateway.turned_away_at)
+        is_known = self.now > reached_at + MAX_LIST_DELAY_NS + self.GRACE
+        violations = len(self.violations)
+        super().attempt(gateway, attempt)
+        del self.violations[violations:]
+        if attempt.instance.id in self.gone and is_known:
+            self.violations.append(((self.now - NOW) // MS, gateway.number, attempt.instance.id))
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+@pytest.mark.parametrize("seed", range(6))
+def test_fleet_sends_nothing_to_what_drains_and_serves_on(seed, pushed, monkeypatch):
+    """Guards against requests to draining instances, by gateways that have not asked for longer than that a
+    drain counts as known: answers of an instance that serves on do not tell that it drains."""
+    monkeypatch.setitem(RULES, "turned_away_calls_confirm", pushed)
+    fleet = ServingFleet(seed)
+    assert fleet.sent > 500 and not fleet.violations
+
+
+@pytest.mark.parametrize(
+    "gap_ms, pushed, longest", [(0, False, 16.0), (10_000, False, 10.0), (0, True, 5.0), (3000, True, 3.0)]
+)
+def test_next_call_after_a_crowd_is_made_while_the_list_holds(gap_ms, pushed, longest):
+    start = interface.StartSettings(
+        now=NOW,
+        seed=1,
+        max_list_call_gap=gap_ms * MS,
+        turned_away_calls_confirm=pushed,
+        max_unconfirmed_list_age=MAX_LIST_DELAY_NS,
+    )
+    assert call_pauses.max_crowded_pause_seconds(start) == longest
+
+
 class TrustsOldList(Balancer):
     """An injected fault: it uses its old list for ever."""
 
@@ -345,3 +417,16 @@
     fleet = Fleet(2)
     latest = max(fleet.list_received_at.values()) - NOW - fleet.BACK
     assert len(fleet.list_received_at) == fleet.size and latest <= 2 * fleet.size * fleet.each
+
+
+def test_pushed_list_is_asked_for_within_the_grace_of_a_refused_call():
+    """Where lists are pushed, what discovery has as it returns counts as known at once. A drain before that
+    may then get requests only until the grace is over, so the next call has to come by then."""
+    grace_seconds = SETTINGS["Obligations"]["DrainGrace"] / 1e3
+    made = balancer([line(1)], turned_away_calls_confirm=True, **RULES)
+    made.list_failed(NOW, NOW)
+    connection, pauses = managed_connection.ManagedConnection(("127.0.0.1", 1), 7, 0.05, 1.0), []
+    connection.condition.wait_for = lambda moving, seconds: pauses.append(seconds)
+    for _ in range(10):  # refused calls
+        connection.pause_before_retry()
+    assert max(max(pauses), (made.list_call_at - NOW) / 1e9) <= grace_seconds
