Brackets of JSON text are found in linear time: a command cut short hung each member

Cause: nesting_depth in ledger/state.py passed over a quote without an end alone and looked to the end of the text again from the next one. JsonObjects in gateway/http.py did the same in spite of possessive quantifiers: 8, 16, 32 KB of escaped quotes took 0.8, 3.4 and 11.4 s. Change: json_brackets.py, for both; from the first quote without an end on none has one, so it is looked for once.

A reference scanner agrees on random texts.

--- a/lemonlead/gateway/http.py
+++ b/lemonlead/gateway/http.py
@@ -1,8 +1,7 @@
 """Parsers for HTTP/1.1 responses: one is fed bytes and returns the lines of the body, the other is fed such
 lines and returns the text of each JSON object in them, which may span several lines."""
 
-import re
-
+from ..json_brackets import net_nesting
 from .buffer import Buffer, Malformed
 
 MAX_LINE_BYTES = 8192
@@ -11,9 +10,6 @@
 MAX_BODY_LINE_BYTES = 1 << 22
 # What `Response.next` returns: no whole line yet; the body is over.
 MORE, END = object(), object()
-# The next bracket, after anything that is none: other characters, whole JSON strings (JSON strings never span
-# lines) and quotes without an end. Brackets are found one by one because a whole list is large and has many.
-BRACKET = re.compile(rb'(?:[^"{}\[\]]++|"(?:[^"\\]++|\\.)*+"|")*+([{}\[\]]?)')
 
 
 class Response:
@@ -121,8 +117,7 @@
         """Returns the text of an object with its last line, and no bytes before. Raises Malformed."""
         if not line.strip():
             return b""
-        found = (match[1] for match in BRACKET.finditer(line))
-        self.depth += sum((c in (b"{", b"[")) - (c in (b"}", b"]")) for c in found)
+        self.depth += net_nesting(line)
         self.lines.append(line)
         self.size += len(line)
         if self.size > MAX_BODY_LINE_BYTES:
--- a/lemonlead/ledger/state.py
+++ b/lemonlead/ledger/state.py
@@ -11,7 +11,6 @@
 many, `State.full` makes the leader turn commands away.
 """
 
-import re
 from dataclasses import dataclass, field, replace
 from itertools import islice
 
@@ -19,11 +18,14 @@
 from immutables import Map
 from msgspec import Struct
 
+from ..json_brackets import nesting_depth
 from .faults import Fault, Refused, Senseless
 from .records import COMMAND, MEMBERS, ConfiguredMember, Entry
 
 MAX_COMMAND_BYTES = 256 * 1024
-MAX_NESTING = 100  # objects and lists inside each other in a command
+# Objects and lists inside each other in a command. Without a bound, one member might decode a command that is
+# too deep for another one's stack, and their states would differ from then on.
+MAX_NESTING = 100
 MAX_ANSWERS = 200_000  # remembered ids; beyond it the leader takes no command until old ones expire
 RECORDS_PER_PIECE = 500  # in one line of a snapshot
 
@@ -312,19 +314,6 @@
             raise ValueError(f"no snapshot: {type(error).__name__}: {error}") from None
 
 
-def nesting_depth(data):
-    """Returns how deep the objects and lists of a command are nested.
-
-    Without a bound, one member might decode a command that is too deep for another one's stack, and their
-    states would differ from then on.
-    """
-    depth = deepest = 0
-    for found in BRACKET.finditer(data):
-        depth += {b"{": 1, b"[": 1, b"}": -1, b"]": -1}.get(found[0], 0)
-        deepest = max(deepest, depth)
-    return deepest
-
-
 def expire_answers(state):
     """Returns the state without expired ids. Each call checks only a few entries, so that none takes long."""
     answers, order, oldest, budget = state.answers, state.order, state.oldest, 8
@@ -355,7 +344,6 @@
     kind: str
 
 
-BRACKET = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)  # a bracket, or a whole string to skip
 KIND_DECODER, ENCODE = msgspec.json.Decoder(CommandKind), msgspec.json.Encoder().encode
 __all__ = [
     "Applied",
--- a/tests/test_ledger_state.py
+++ b/tests/test_ledger_state.py
@@ -1,11 +1,14 @@
 """Tests of the state machine: commands, remembered ids, snapshots and membership. The sums are checked
 against the independent implementation in `standins.promises`."""
 
+import time
+
 import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lemonlead import json_brackets
 from lemonlead.ledger import capacity, entries, followers, membership, state
 from lemonlead.ledger.faults import Senseless
 from lemonlead.ledger.records import COMMAND, MEMBERS, ConfiguredMember, Entry
@@ -400,6 +403,36 @@
     assert applied.code == 200
 
 
+REPEATED = [b'"', b'\\"', b'"\\', b"[", b'["', b'{"a":', b"[]", b'"{', b"\\", b'{"\\""']
+
+
+@pytest.mark.parametrize("part", REPEATED)
+@pytest.mark.parametrize("start", [b"", b'{"', b'{"id":"x","kind":"entry","value":"' + b"{" * 101])
+def test_time_to_read_a_command_is_linear_in_its_length(start, part):
+    """Guards against a command that was cut short, which kept a member from answering anything: each quote in
+    a string without an end was tried as the start of one, 41 s for 64 KiB."""
+    data = (start + part * state.MAX_COMMAND_BYTES)[: state.MAX_COMMAND_BYTES]
+    began = time.thread_time()
+    with pytest.raises(Senseless):
+        LEDGER.read(data, outside=True)
+    assert time.thread_time() - began < 0.2
+
+
+@given(st.lists(st.sampled_from([b'"', b"\\", b"{", b"}", b"[", b"]", b"a", b"\n"])).map(b"".join))
+def test_brackets_are_found_outside_of_strings_alone(text):
+    depth = deepest = at = 0
+    while at < len(text):
+        end = at + 1
+        while text[at : at + 1] == b'"' and end < len(text) and text[end : end + 1] != b'"':
+            end += 2 if text[end : end + 1] == b"\\" else 1
+        if text[at : at + 1] == b'"' and end < len(text):
+            at = end + 1  # behind a whole string; a quote without an end is passed over alone
+            continue
+        depth += (text[at : at + 1] in (b"{", b"[")) - (text[at : at + 1] in (b"}", b"]"))
+        deepest, at = max(deepest, depth), at + 1
+    assert (json_brackets.net_nesting(text), json_brackets.nesting_depth(text)) == (depth, deepest)
+
+
 def test_the_number_of_entries_is_bounded(monkeypatch):
     monkeypatch.setattr(entries, "MAX_ENTRIES", 2)
     full = state_after(put({}), put({}, key="i1"))
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -58,6 +58,22 @@
     return code, output.err
 
 
+# ---- commands that cannot be read
+
+
+def test_command_that_was_cut_short_holds_no_member_up(cluster):
+    """Guards against a script that asks each member in turn with a document cut in the middle: each was busy
+    with it for over a minute and answered nothing, its peers included."""
+    routes = json.dumps([{"route": f"r{number}", "zones": ["a", "b"]} for number in range(5000)])
+    value = {"document": json.dumps({"routes": routes})}
+    data = json.dumps({"id": "t/cut", "kind": "entry", "scope": "s", "key": "k", "value": value}).encode()
+    for name in cluster.initial_members:
+        began = time.monotonic()
+        code, answer = cluster.ask(name, "POST", "/v1/commands", data[: 200 * 1024])
+        assert code == 400 and time.monotonic() - began < COMMAND_TIMEOUT_SECONDS, answer
+    declare_node(cluster, 900)
+
+
 # ---- normal operation
 
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -3,6 +3,7 @@
 import json
 import random
 import re
+import time
 import tracemalloc
 
 import pytest
@@ -215,3 +216,12 @@
         assert tracemalloc.get_traced_memory()[1] < len(text) / 4
     finally:
         tracemalloc.stop()
+
+
+@pytest.mark.parametrize("part", [b'"', b'\\"', b'["', b"[]"])
+def test_time_to_read_a_line_of_a_list_is_linear_in_its_length(part):
+    """Guards against a gateway that hears no list while it reads a line whose string has no end: each quote
+    in it was tried as the start of one, 11 s for 32 KB."""
+    began = time.thread_time()
+    http.JsonObjects().add((b'{"' + part * http.MAX_BODY_LINE_BYTES)[: 1 << 18])
+    assert time.thread_time() - began < 0.2
