--- a/tests/test_ledger_state.py
+++ b/tests/test_ledger_state.py
@@ -388,6 +388,29 @@
     assert applied.code == 400 and says in str(applied.body) and after.parts == first.parts
 
 
+def test_a_name_with_a_line_end_is_invalid():
+    """Guards against a record that no relay can read: it refuses the change for ever, and tells no later
+    one."""
+    named = [
+        put({}, key="instance/s-2\n"),
+        put({}, scope="svc-1\n"),
+        {"kind": "node", "node": "n1\n", "site": "a", "units": 1},
+        {"kind": "follow", "gateway": "g1\n"},
+    ]
+    for command in named:
+        with pytest.raises(Senseless):
+            LEDGER.read(msgspec.json.encode({"id": "c/1", **command}), outside=True)
+
+
+def test_a_late_unfollow_leaves_the_successor_of_its_gateway():
+    """Guards against a permit cleared while the successor may still send: the call of the process before,
+    held up on its way, ends the stay of the one that has followed since."""
+    follow = {"kind": "follow", "gateway": "g1"}
+    current = state_after(follow, follow)
+    after, applied = apply(current, kind="unfollow", gateway="g1", since=1)
+    assert applied.code == 200 and after.part("followers")["g1"].since == 2
+
+
 @pytest.mark.parametrize("depth, code", [(state.MAX_NESTING, 200), (state.MAX_NESTING + 1, 400), (5000, 400)])
 def test_the_nesting_limit_does_not_depend_on_the_stack(depth, code):
     value = b'{"a":' * (depth - 1) + b"1" + b"}" * (depth - 1)
--- a/tests/test_simulated_whole.py
+++ b/tests/test_simulated_whole.py
@@ -36,6 +36,13 @@
     assert_unbroken(draw(seed, span=SHORT_SPAN_MS))
 
 
+def test_permit_waits_for_a_gateway_that_has_just_followed():
+    """Guards against a node cleared past a gateway whose `follow` is in the leader's log, but not applied
+    yet: the rule of `permit_clear` does not look at the followers."""
+    played = play(draw(900_086), WholePlay)
+    assert played.violation is None, str(played.violation)
+
+
 def test_command_plays_whole_clusters(capsys):
     assert schedules.main(["--whole", "--count", "1", "--jobs", "1", "--faults", "clusters"]) == 0
     assert "slowest to end" in capsys.readouterr().out
