--- a/lemonlead/gateway/instances.py
+++ b/lemonlead/gateway/instances.py
@@ -321,21 +321,21 @@
         `Connection.read`, and Malformed if an error may belong to either command."""
         connection = in_flight.connection
         value = connection.read(in_flight.until)
-        if (seen := resp.fingerprint(value)) == connection.last_response:
-            self.counters.add("responses confirmed")
-            connection.write(self.marker, in_flight.until)
-            following = value
-            while seen == connection.last_response:
-                following = connection.read(in_flight.until)
-                seen = resp.fingerprint(following)
-            if seen != self.marker_response:
-                self.counters.add("late responses skipped")
-                connection.out_of_step = True
-                if isinstance(following, resp.Fault) and following.startswith(b"ERR"):
-                    raise resp.Malformed("an error that may belong to either of two commands")
-                value = following
-        connection.last_response = resp.fingerprint(value)
-        return value
+        if (seen := resp.fingerprint(value)) != connection.last_response:
+            connection.last_response = seen
+            return value
+        self.counters.add("responses confirmed")
+        connection.write(self.marker, in_flight.until)
+        while seen == connection.last_response:
+            following = connection.read(in_flight.until)
+            seen = resp.fingerprint(following)
+        if seen == self.marker_response:
+            return value
+        self.counters.add("late responses skipped")
+        connection.out_of_step = True  # it is closed, because the marker's response is still to come
+        if isinstance(following, resp.Fault) and following.startswith(b"ERR"):
+            raise resp.Malformed("an error that may belong to either of two commands")
+        return following
 
     def get_connection(self, in_flight):
         """Gives the attempt the longest unused connection, or makes a new one. Returns whether it is new, or
--- a/lemonlead/gateway/sockets.py
+++ b/lemonlead/gateway/sockets.py
@@ -11,7 +11,7 @@
 # to include it.
 LAST_DATA_RECEIVED_OFFSET = 52
 INFO_LENGTH = 56
-# The offset of the TCP state, and some of its values.
+# The offset of the TCP state, and two of its values.
 STATE_OFFSET = 0
 CLOSE = 7
 CLOSE_WAIT = 8
--- a/lemonlead/standins/nodes.py
+++ b/lemonlead/standins/nodes.py
@@ -89,8 +89,6 @@
 
     def handler_for(self, gateway):
         def react(words):
-            if words[0].upper() == b"PING":
-                return b"+PONG\r\n"
             with self.changed:
                 self.counts["attempts"] += 1
                 self.counts["after clear"] += self.state not in (SERVING, CATCHING_UP)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -672,7 +672,7 @@
 
 class SlowReader:
     """A client whose system has not taken all of its response. `looked` is set once the gateway has seen that
-    after `watch` was called."""
+    while `watching` is set."""
 
     def __init__(self, ran, monkeypatch):
         self.ran, self.looked, self.watching = ran, threading.Event(), False
