Names with a line end are refused, and an unreadable record stops no relay

Cause: the members' patterns end in $, which matches before a last line end; relays match the whole name, and refuse the whole answer for one record. Change: such a new name is refused from outside, committed ones are applied as before (ledger/names.py); a relay passes on all but what it can't read, and is not ready meanwhile (distribution/unreadable.py). test_scope_names_match_ledger_names compared two patterns; there is one now, and a fuzz compares what a member takes with what each reader does, which is stricter.

--- a/lemonlead/distribution/faults.py
+++ b/lemonlead/distribution/faults.py
@@ -70,6 +70,12 @@
     do = "ask another relay; where it lasts, see that members run and that this relay reaches one"
 
 
+class RecordsUnreadable(NotNow):
+    """The ledger has records that this relay can't pass on. All others are passed on."""
+
+    do = 'drop the record that is named: the command "entry" with its scope, its key and value null'
+
+
 class TooMany(NotNow):
     """More subscribers than this relay accepts at a time."""
 
--- a/lemonlead/distribution/records.py
+++ b/lemonlead/distribution/records.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from ..ledger.names import is_name
 from .faults import Senseless, Unreadable, Unusable, describe_value
 
 # Urgency levels; the lowest is sent first.
@@ -23,7 +24,6 @@
 MAX_INDEX = 1 << 62
 ALL_GATEWAYS = ""  # the scope that every gateway subscribes to
 
-NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.:/-]{0,99}")  # as the ledger's Name
 KEY = re.compile(r"[!-~]{1,200}")
 
 Index = Annotated[int, Meta(ge=0, le=MAX_INDEX)]
@@ -112,7 +112,7 @@
 
 def check_scope_name(scope, where, fault=Senseless):
     """Returns the scope name, checked."""
-    if type(scope) is not str or scope and not NAME.fullmatch(scope):
+    if type(scope) is not str or scope and not is_name(scope):
         raise fault(
             f"{where}: scope {describe_value(scope)}; "
             "expected a name of 1 to 100 characters, or '' for the scope of all gateways"
@@ -122,7 +122,7 @@
 
 def check_gateway_name(name, where, fault=Senseless):
     """Returns the gateway's name, checked."""
-    if type(name) is not str or not NAME.fullmatch(name):
+    if not is_name(name):
         raise fault(
             f"{where}: {describe_value(name)}; expected a name of 1 to 100 characters (A-Z a-z 0-9 _ . : / -)"
         )
--- a/lemonlead/distribution/relay.py
+++ b/lemonlead/distribution/relay.py
@@ -26,10 +26,11 @@
 from ..member.run import LogOutput, bind_listener, configure_log, raise_descriptor_limit
 from . import records, relay_settings
 from .acknowledgements import Acknowledgements
-from .faults import NoState, NotNow, NotSubscribed, Senseless, TooMany, TooYoung
+from .faults import NoState, NotNow, NotSubscribed, RecordsUnreadable, Senseless, TooMany, TooYoung
 from .ledger_source import LedgerSource
 from .outbox import Outbox
 from .store import Store
+from .unreadable import UnreadableRecords
 
 SIGN_OF_LIFE_SECONDS = 2.0  # a stream with nothing to send gets an empty line after this time
 SIGN_OF_LIFE = b"\n"
@@ -38,6 +39,7 @@
 KEEPALIVE_SECONDS = 75  # an idle connection is kept this long
 SHUTDOWN_SECONDS = 0.2  # for calls that are being answered when the relay stops
 WATCH_INTERVAL_SECONDS = 0.5  # between two checks for silent subscribers and for a cut-off source
+MAX_LOGGED_RECORDS = 20  # unreadable ones of one change or state
 RETRY_MS = 1000  # time after which a rejected gateway may try again
 SPARE_DESCRIPTORS = 200  # file descriptors for everything but gateways
 CONNECTIONS_PER_GATEWAY = 2  # the stream and one for acknowledgements
@@ -81,6 +83,7 @@
         self.settings, self.source, self.clock = settings, source, clock
         self.log = log or structlog.get_logger(relay=settings.relay)
         self.store = Store("", settings.bounds.kept)
+        self.unreadable = UnreadableRecords(self.store)
         self.acknowledgements = Acknowledgements(settings.lease, settings.grace, clock())
         self.streams = {}  # by gateway
         self.streams_by_scope = {}
@@ -174,7 +177,9 @@
         """Takes the whole state. If it comes from another cluster than before, all subscribers start
         again."""
         before = self.store.cluster
-        self.store.replace(cluster, index, scopes)
+        known = set(self.unreadable.reasons)
+        self.unreadable.replace(cluster, index, scopes)
+        self.log_unreadable(known)
         freeze_memory()
         if before and cluster != before:
             self.acknowledgements.reset_complete()
@@ -184,12 +189,22 @@
 
     def apply(self, index, changes):
         """Takes what one ledger entry changed and wakes the streams that have its scopes."""
-        self.store.apply(index, changes)
+        known = set(self.unreadable.reasons)
+        self.unreadable.apply(index, changes)
+        self.log_unreadable(known)
         for scope in {scope for scope, _, _ in changes}:
             for stream in self.streams_by_scope.get(scope, ()):
                 self.counts["stirred"] += 1
                 stream.changed.set()
 
+    def log_unreadable(self, known):
+        """Logs records that have become unreadable, and when all are readable again."""
+        reasons = self.unreadable.reasons
+        for scope, key in sorted(reasons.keys() - known)[:MAX_LOGGED_RECORDS]:
+            self.log.error("unreadable record", scope=scope, key=key, reason=reasons[scope, key])
+        if known and not reasons:
+            self.log.info("all records readable", at=self.store.index)
+
     # ---- calls
 
     @web.middleware
@@ -333,6 +348,8 @@
             raise Senseless(f"index: {text[:50]!r}; expected a whole number")
         if not self.acknowledgements.knows_all_subscribers(self.clock()):
             raise TooYoung("this relay has just been started")
+        if self.unreadable.has_scope(scope):
+            raise RecordsUnreadable(f"scope {scope!r} has a record that this relay can't pass on")
         index = self.store.as_of(scope, int(text))
         return json_response(200, self.acknowledgements.in_force(self.clock(), scope, index)._asdict())
 
@@ -345,12 +362,19 @@
     async def ready(self, request):
         """GET /readyz."""
         self.check_accepting("")
+        if self.unreadable.reasons:
+            (scope, key), reason = next(iter(self.unreadable.reasons.items()))
+            count = len(self.unreadable.reasons)
+            raise RecordsUnreadable(
+                f"{count} records can't be passed on, among them scope {scope!r}, key {key!r}: {reason}"
+            )
         return json_response(200, {"ready": True})
 
     def figures(self):
         """Returns all counters and the current length of each table."""
         now = {"cluster": self.store.cluster, "at": self.store.index, "subscribers": len(self.streams)}
         now.update(connections=len(self.runner.server.connections), lines_lost=LogOutput.lines_lost)
+        now["unreadable"] = len(self.unreadable.reasons)
         return {**now, **self.counts, **{f"ledger_{n}": c for n, c in self.source.figures().items()}}
 
 
--- a/lemonlead/drains/rules.py
+++ b/lemonlead/drains/rules.py
@@ -19,7 +19,8 @@
 from msgspec.structs import replace
 
 from ..ledger import capacity
-from ..ledger.capacity import CATCHING_UP, DRAINED, FAILED, Millis, Name, Names, Report, change_node
+from ..ledger.capacity import CATCHING_UP, DRAINED, FAILED, ExistingNames, Millis, Report, change_node
+from ..ledger.names import ExistingName, Name
 from ..ledger.state import Command
 from . import constraints, feasibility
 from .faults import GivenUp, GroundGone, NoSuchDrain, TooManyDrains
@@ -43,7 +44,7 @@
 GIVEN_UP = "given up"
 
 Index = Annotated[int, Meta(ge=0)]
-PermitNodes = Annotated[tuple[Name, ...], Meta(min_length=1, max_length=MAX_PERMITS)]
+PermitNodes = Annotated[tuple[ExistingName, ...], Meta(min_length=1, max_length=MAX_PERMITS)]
 
 
 # ---- records
@@ -107,12 +108,12 @@
     """Starts a drain, or gives a running one another deadline or other nodes."""
 
     drain: Name
-    nodes: Names
+    nodes: ExistingNames
     deadline_ms: Millis = 0
 
 
 class DrainStop(Command, frozen=True, tag="drain_stop"):
-    drain: Name
+    drain: ExistingName
 
 
 class PermitCommand(Command, frozen=True, tag="permit"):
--- a/lemonlead/following/driver.py
+++ b/lemonlead/following/driver.py
@@ -3,7 +3,6 @@
 
 import contextlib
 import os
-import re
 import socket
 import threading
 import time
@@ -12,6 +11,7 @@
 from ..gateway import http
 from ..gateway.config import address, now
 from ..gateway.managed_connection import CONNECT_TIMEOUT_SECONDS, END_REASONS
+from ..ledger.names import is_name
 from . import responses
 from .faults import Unusable
 from .ledger_polling import FOLLOW, STATE, UNFOLLOW, VOTE, LedgerPolling
@@ -20,14 +20,13 @@
 READ_TIMEOUT_SECONDS = 3.5  # longest time without a byte; a member answers a poll within 2 s
 TOTAL_TIMEOUT_SECONDS = 20.0  # for a whole response, however slowly it arrives
 LEAVE_SECONDS = 1.5  # for the last call at the end
-NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.:/-]{0,99}")
 
 
 def check_settings(settings, name):
     """Returns the gateway's name in the ledger and its members from the settings' `follow`. Raises Unusable
     when they are invalid."""
     gateway, members = settings.get("name", name), settings["members"]
-    if not NAME.fullmatch(gateway):
+    if not is_name(gateway):
         raise Unusable(f"{gateway!r} is no valid name in the ledger")
     if not members:
         raise Unusable("follow.members is empty")
--- a/lemonlead/ledger/capacity.py
+++ b/lemonlead/ledger/capacity.py
@@ -13,12 +13,12 @@
 
 from . import services
 from .faults import BeingMoved, Refused, Senseless
+from .names import ExistingName, Name
 from .state import Command
 
-Name = Annotated[str, Meta(min_length=1, max_length=100, pattern=r"^[A-Za-z0-9][A-Za-z0-9_.:/-]*$")]
 Units = Annotated[int, Meta(ge=0, le=10**9)]
 Millis = Annotated[int, Meta(ge=0, le=10**14)]
-Names = Annotated[tuple[Name, ...], Meta(min_length=1, max_length=20_000)]
+ExistingNames = Annotated[tuple[ExistingName, ...], Meta(min_length=1, max_length=20_000)]
 MAX_RECORDS_PER_PART = 200_000  # a command that would create one more is refused
 
 COLD_STEPS = 4  # per cold period: the unavailable units of a site's cold nodes are summed in steps of time
@@ -258,21 +258,21 @@
     reservation: Name
     service: Name
     units: Units
-    nodes: Names | None = None
+    nodes: ExistingNames | None = None
     site: Name | None = None
 
 
 class Free(Command, frozen=True, tag="free"):
     """Ends a reservation."""
 
-    reservation: Name
+    reservation: ExistingName
 
 
 class GangCommand(Command, frozen=True, tag="gang"):
     """Starts a gang."""
 
     gang: Name
-    nodes: Names
+    nodes: ExistingNames
     units: Units
     ends_ms: Millis = 0
 
@@ -280,21 +280,21 @@
 class GangEnd(Command, frozen=True, tag="gang_end"):
     """Ends a gang."""
 
-    gang: Name
+    gang: ExistingName
 
 
 class GroupCommand(Command, frozen=True, tag="group"):
     """Declares or replaces a group."""
 
     group: Name
-    nodes: Names
+    nodes: ExistingNames
     quorum: Annotated[int, Meta(ge=1, le=20_000)]
 
 
 class Report(Command, frozen=True, tag="report"):
     """Reports the state of a node."""
 
-    node: Name
+    node: ExistingName
     state: Annotated[str, Meta(pattern="^(serving|catching_up|drained|failed)$")]
     seen: Annotated[int, Meta(ge=0)] = 0  # the node has applied all entries up to this one; 0 if unknown
 
--- a/lemonlead/ledger/entries.py
+++ b/lemonlead/ledger/entries.py
@@ -11,14 +11,15 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from .capacity import Name, check_part_size
+from .capacity import check_part_size
 from .faults import Senseless
+from .names import MAX_NAME_LENGTH, NAME_PATTERN, Name
 from .state import Command
 
 MAX_ENTRIES = 500_000  # of all scopes
 MAX_VALUE_BYTES = 4096  # of a value as JSON
 
-Scope = Annotated[str, Meta(max_length=100, pattern=r"^([A-Za-z0-9][A-Za-z0-9_.:/-]*)?$")]
+Scope = Annotated[str, Meta(max_length=MAX_NAME_LENGTH, pattern=f"^({NAME_PATTERN})?$")]
 ENCODE = msgspec.json.Encoder().encode
 
 
@@ -36,6 +37,9 @@
     key: Name
     value: dict | None
 
+    def creates(self):
+        return self.value is not None
+
 
 def record_key(scope, key):
     return f"{scope} {key}"
--- a/lemonlead/ledger/followers.py
+++ b/lemonlead/ledger/followers.py
@@ -10,8 +10,9 @@
 
 from msgspec import Meta, Struct
 
-from .capacity import MAX_RECORDS_PER_PART, Name, check_part_size
+from .capacity import MAX_RECORDS_PER_PART, check_part_size
 from .faults import Refused
+from .names import ExistingName, Name
 from .state import Command
 
 MAX_FOLLOWERS = 1000
@@ -38,7 +39,7 @@
 class Unfollow(Command, frozen=True, tag="unfollow"):
     """A gateway that has finished sending requests asks not to be waited for any more."""
 
-    gateway: Name
+    gateway: ExistingName
 
 
 class Forgotten(Command, frozen=True, tag="forgotten"):
--- a/lemonlead/ledger/membership.py
+++ b/lemonlead/ledger/membership.py
@@ -11,8 +11,8 @@
 from immutables import Map
 from msgspec import Meta, Struct
 
-from .capacity import Name
 from .faults import Refused
+from .names import ExistingName, Name
 from .records import ConfiguredMember, SnapshotBase
 from .state import Command, LedgerSettings, MemberRow, State
 
@@ -43,7 +43,7 @@
 class Remove(Command, frozen=True, tag="remove"):
     """Removes a member."""
 
-    member: Name
+    member: ExistingName
     address: str = ""
 
 
--- a/lemonlead/ledger/state.py
+++ b/lemonlead/ledger/state.py
@@ -20,6 +20,7 @@
 
 from ..json_brackets import nesting_depth
 from .faults import Fault, Refused, Senseless
+from .names import check_new_names
 from .records import COMMAND, MEMBERS, ConfiguredMember, Entry
 
 MAX_COMMAND_BYTES = 256 * 1024
@@ -36,6 +37,10 @@
 
     id: str = ""
 
+    def creates(self):
+        """Returns whether the command may create something under a name in it."""
+        return True
+
 
 class LedgerSettings(Struct, frozen=True):
     """Settings that all members share, stored when the cluster is formed. Times are nanoseconds of ledger
@@ -186,6 +191,8 @@
                 if not isinstance(command, self.inner)
                 else f"kind {kind!r} is not for clients"
             )
+        if outside and command.creates():
+            check_new_names(command, data)
         return command
 
     def apply(self, state, entry):
--- a/lemonlead/moves/rules.py
+++ b/lemonlead/moves/rules.py
@@ -13,8 +13,9 @@
 from msgspec.structs import replace
 
 from ..ledger import capacity, services
-from ..ledger.capacity import Group, Name, Reservation
+from ..ledger.capacity import Group, Reservation
 from ..ledger.faults import Refused, Senseless
+from ..ledger.names import EXISTING, ExistingName, Name
 from ..ledger.state import Command
 from .faults import (
     DecidedElsewhere,
@@ -69,7 +70,9 @@
 MAX_HOLDS = 4096
 MAX_PIECES = 500  # reservations of one move, its groups, and the members of these groups
 
-ShortName = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]*$")]
+SHORT_NAME = Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]*$")
+ShortName = Annotated[str, SHORT_NAME]
+ExistingShortName = Annotated[str, SHORT_NAME, Meta(extra={EXISTING: True})]
 Reason = Annotated[str, Meta(max_length=500)]
 Index = Annotated[int, Meta(ge=0)]
 
@@ -170,17 +173,17 @@
     """An operator states that the destination is lost for good: the source keeps the service, and the
     destination is not notified."""
 
-    move: ShortName
+    move: ExistingShortName
     because: Reason
 
 
 class MoveVote(Command, frozen=True, tag="move_vote"):
     """The vote of a gateway on the current stage."""
 
-    move: ShortName
+    move: ExistingShortName
     epoch: Index
     stage: Index
-    gateway: Name
+    gateway: ExistingName
     verdict: Annotated[str, Meta(pattern="^(on|back)$")]
 
 
@@ -529,8 +532,8 @@
 
 
 class HoldCommand(Command, frozen=True):
-    source: ShortName
-    move: ShortName
+    source: ExistingShortName
+    move: ExistingShortName
     epoch: Index
     floor: Index
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -25,7 +25,8 @@
 )
 from lemonlead.distribution.store import Store
 from lemonlead.distribution.subscriber import Acknowledge, Subscribe, Subscriber
-from lemonlead.ledger import capacity
+from lemonlead.distribution.unreadable import UnreadableRecords
+from lemonlead.ledger import names
 
 SECOND = 1000 * MS
 HOUR = 3600 * SECOND
@@ -101,8 +102,8 @@
 
 
 def test_scope_names_match_ledger_names():
-    about = capacity.Name.__metadata__[0]
-    assert about.pattern == f"^{records.NAME.pattern.removesuffix('{0,99}')}*$" and about.max_length == 100
+    assert names.Name.__metadata__[0].pattern == f"^{names.NAME_PATTERN}$"
+    assert names.Name.__metadata__[0].max_length == names.MAX_NAME_LENGTH == 100
     for name in ("a", "a" * 100, "A1_.:/-"):
         assert records.check_scope_name(name, "here") == name
     assert records.check_scope_name("", "here") == ""
@@ -436,6 +437,28 @@
     assert (store.index, store.snapshot("a"), store.changes_since("a", 10)) == (10, [("x", 1, UP)], [])
 
 
+BAD, GOOD = ("a", "k 1", UP), ("a", "k2", OUT)
+
+
+@pytest.mark.parametrize("ended", [[("a", "k 1", None)], {"a": {"k2": (12, OUT)}}])
+def test_an_unreadable_record_does_not_stop_the_others(ended):
+    """Guards against a relay that refuses an entry for ever, and with it each later one, for a name that no
+    gateway reads."""
+    relayed = UnreadableRecords(new_store(index=10))
+    relayed.apply(11, [BAD])
+    relayed.apply(12, [GOOD])
+    assert relayed.store.newest("a", "k2").index == 12 and relayed.has_scope("a")
+    relayed.replace("c", 13, {"a": {"k 1": (11, UP), "k2": (12, OUT)}, "b\n": {"k": (13, UP)}})
+    assert relayed.reasons.keys() == {("a", "k 1"), ("b\n", "k")} and relayed.store.index == 13
+    if type(ended) is dict:
+        relayed.replace("c", 14, ended)
+    else:
+        relayed.apply(14, [*ended, ("b\n", "k", None)])
+    assert not relayed.reasons and relayed.store.changes_since("a", 13) == []
+    with pytest.raises(Older):
+        relayed.apply(14, [GOOD])
+
+
 NAMES, KEYS = ("", "a", "b"), ("k0", "k1", "k2", "k3")
 RECORDS = (UP, OUT, {"started_ms": 7}, None, None)
 CHANGE = st.tuples(st.sampled_from(NAMES), st.sampled_from(KEYS), st.sampled_from(RECORDS))
--- a/tests/test_distribution_programs.py
+++ b/tests/test_distribution_programs.py
@@ -372,6 +372,25 @@
         assert seen == sorted(seen) and seen[-1] == 401 and len(seen) < 50
 
 
+def test_relay_with_an_unreadable_record_says_so_and_passes_the_others_on():
+    """Guards against relays that all stand still at one record, and against a scope that is said to be in
+    force without it."""
+    with LocalRelay() as relay:
+        relay.replace("c1", 1, {"svc-1": {"k": (1, {"n": 1})}, "svc-2": {"k": (1, {"n": 1})}})
+        relay.advance(61 * 1_000_000_000)
+        relay.apply(2, ("svc-1", "k\n", {"n": 1}))
+        relay.apply(3, ("svc-2", "k", {"n": 2}))
+        with RecordingSubscriber("g0", "north", ["svc-2"], [("r1", "north", relay.address)]) as gateway:
+            gateway.wait_for_record("svc-2", "k", {"n": 2})
+        code, answer = relay.ask("GET", "/readyz")
+        assert code == 503 and "scope 'svc-1', key 'k\\n'" in answer["error"]["says"]
+        assert relay.ask("GET", "/v1/force?scope=svc-1&index=2")[0] == 503
+        assert relay.ask("GET", "/v1/force?scope=svc-2&index=3")[0] == 200
+        relay.apply(4, ("svc-1", "k\n", None))
+        assert relay.ask("GET", "/readyz")[0] == 200
+        assert relay.ask("GET", "/v1/force?scope=svc-1&index=4")[0] == 200
+
+
 def test_relay_without_budget_sends_signs_of_life():
     """Without them the gateway would end the stream as dead, and a new one would get the whole budget
     again."""
--- a/tests/test_ledger_state.py
+++ b/tests/test_ledger_state.py
@@ -9,7 +9,9 @@
 from hypothesis import strategies as st
 
 from lemonlead import json_brackets
-from lemonlead.ledger import capacity, entries, followers, membership, state
+from lemonlead.distribution.records import check_gateway_name, check_scope_name
+from lemonlead.distribution.store import check_record
+from lemonlead.ledger import capacity, entries, followers, membership, names, state
 from lemonlead.ledger.faults import Senseless
 from lemonlead.ledger.records import COMMAND, MEMBERS, ConfiguredMember, Entry
 from lemonlead.standins import promises
@@ -402,6 +404,38 @@
             LEDGER.read(msgspec.json.encode({"id": "c/1", **command}), outside=True)
 
 
+@pytest.mark.parametrize("made, ended", [
+    (put({"a": 1}, key="instance/s-2\n"), put(None, key="instance/s-2\n")),
+    ({"kind": "follow", "gateway": "g1\n"}, {"kind": "unfollow", "gateway": "g1\n"}),
+    (node("n1\n"), report("n1\n", "failed")),
+])  # fmt: skip
+def test_a_stored_name_with_a_line_end_stays_as_it_was_and_can_be_ended(made, ended):
+    """Guards against members that apply a committed command differently, and a bad record that nobody can
+    drop."""
+    current = state_after(made)
+    command = LEDGER.read(msgspec.json.encode({"id": "c/2", **ended}), outside=True)
+    after, applied = apply(current, **msgspec.to_builtins(command) | {"id": "c/2"})
+    assert applied.code == 200 and after.parts != current.parts
+
+
+@given(st.text(alphabet="aZ9_.:/-\n\r \x00é", max_size=4), st.integers(0, 101))
+def test_each_name_that_a_member_takes_is_a_name_to_its_readers(text, length):
+    name = text + "a" * (length - len(text)) if length > 90 else text
+    gateway = {"kind": "follow", "gateway": name}
+    assert is_taken(gateway) == is_taken(put({}, key=name)) == names.is_name(name)
+    assert is_taken(put({}, scope=name)) == (names.is_name(name) or not name)
+    if is_taken(gateway):
+        assert check_gateway_name(name, "gateway") == check_scope_name(name, "scope") == name
+        assert check_record(name, name, 1, {}, 1)
+
+
+def is_taken(command):
+    try:
+        return bool(LEDGER.read(msgspec.json.encode({"id": "c/1", **command}), outside=True))
+    except Senseless:
+        return False
+
+
 def test_a_late_unfollow_leaves_the_successor_of_its_gateway():
     """Guards against a permit cleared while the successor may still send: the call of the process before,
     held up on its way, ends the stay of the one that has followed since."""
