What a name is stands apart from the types of names, as gateways import no library

Cause: one module held the plain test of a name and the types of commands. Change: ledger/names.py has the first, ledger/new_names.py the rest.

--- a/lemonlead/drains/rules.py
+++ b/lemonlead/drains/rules.py
@@ -20,7 +20,7 @@
 
 from ..ledger import capacity
 from ..ledger.capacity import CATCHING_UP, DRAINED, FAILED, ExistingNames, Millis, Report, change_node
-from ..ledger.names import ExistingName, Name
+from ..ledger.new_names import ExistingName, Name
 from ..ledger.state import Command
 from . import constraints, feasibility
 from .faults import GivenUp, GroundGone, NoSuchDrain, TooManyDrains
--- a/lemonlead/ledger/capacity.py
+++ b/lemonlead/ledger/capacity.py
@@ -13,7 +13,7 @@
 
 from . import services
 from .faults import BeingMoved, Refused, Senseless
-from .names import ExistingName, Name
+from .new_names import ExistingName, Name
 from .state import Command
 
 Units = Annotated[int, Meta(ge=0, le=10**9)]
--- a/lemonlead/ledger/entries.py
+++ b/lemonlead/ledger/entries.py
@@ -13,7 +13,8 @@
 
 from .capacity import check_part_size
 from .faults import Senseless
-from .names import MAX_NAME_LENGTH, NAME_PATTERN, Name
+from .names import MAX_NAME_LENGTH, NAME_PATTERN
+from .new_names import Name
 from .state import Command
 
 MAX_ENTRIES = 500_000  # of all scopes
--- a/lemonlead/ledger/followers.py
+++ b/lemonlead/ledger/followers.py
@@ -12,7 +12,7 @@
 
 from .capacity import MAX_RECORDS_PER_PART, check_part_size
 from .faults import Refused
-from .names import ExistingName, Name
+from .new_names import ExistingName, Name
 from .state import Command
 
 MAX_FOLLOWERS = 1000
--- a/lemonlead/ledger/membership.py
+++ b/lemonlead/ledger/membership.py
@@ -12,7 +12,7 @@
 from msgspec import Meta, Struct
 
 from .faults import Refused
-from .names import ExistingName, Name
+from .new_names import ExistingName, Name
 from .records import ConfiguredMember, SnapshotBase
 from .state import Command, LedgerSettings, MemberRow, State
 
--- a/lemonlead/ledger/state.py
+++ b/lemonlead/ledger/state.py
@@ -20,7 +20,7 @@
 
 from ..json_brackets import nesting_depth
 from .faults import Fault, Refused, Senseless
-from .names import check_new_names
+from .new_names import check_new_names
 from .records import COMMAND, MEMBERS, ConfiguredMember, Entry
 
 MAX_COMMAND_BYTES = 256 * 1024
--- a/lemonlead/moves/rules.py
+++ b/lemonlead/moves/rules.py
@@ -15,7 +15,7 @@
 from ..ledger import capacity, services
 from ..ledger.capacity import Group, Reservation
 from ..ledger.faults import Refused, Senseless
-from ..ledger.names import EXISTING, ExistingName, Name
+from ..ledger.new_names import EXISTING, ExistingName, Name
 from ..ledger.state import Command
 from .faults import (
     DecidedElsewhere,
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -26,7 +26,7 @@
 from lemonlead.distribution.store import Store
 from lemonlead.distribution.subscriber import Acknowledge, Subscribe, Subscriber
 from lemonlead.distribution.unreadable import UnreadableRecords
-from lemonlead.ledger import names
+from lemonlead.ledger import names, new_names
 
 SECOND = 1000 * MS
 HOUR = 3600 * SECOND
@@ -102,8 +102,8 @@
 
 
 def test_scope_names_match_ledger_names():
-    assert names.Name.__metadata__[0].pattern == f"^{names.NAME_PATTERN}$"
-    assert names.Name.__metadata__[0].max_length == names.MAX_NAME_LENGTH == 100
+    assert new_names.Name.__metadata__[0].pattern == f"^{names.NAME_PATTERN}$"
+    assert new_names.Name.__metadata__[0].max_length == names.MAX_NAME_LENGTH == 100
     for name in ("a", "a" * 100, "A1_.:/-"):
         assert records.check_scope_name(name, "here") == name
     assert records.check_scope_name("", "here") == ""
