--- a/lemonlead/following/ledger_polling.py
+++ b/lemonlead/following/ledger_polling.py
@@ -89,7 +89,7 @@
             return True
         self.counts["anew"] += 1
         self.left_clusters.append(self.cluster)
-        self.cluster, self.applied_index = cluster, 0
+        self.cluster, self.applied_index, self.followed_since = cluster, 0, 0
         self.restart_from_state()
         self.command_number += 1
         return False
@@ -192,8 +192,10 @@
             self.pending_vote = None
 
     def leave(self, now):
-        """Starts to leave, once all attempts have ended: the next command is an unfollow."""
+        """Starts to leave, once all attempts have ended: the next command is an unfollow, unless no follow
+        command was answered. A stay whose index is unknown ends with its lease."""
         self.leaving, self.not_before = True, now
+        self.left = not self.followed_since
 
     def unfollowed(self):
         """Records that the ledger no longer waits for this gateway."""
@@ -217,7 +219,7 @@
         if now < self.not_before or self.left:
             return None
         if self.leaving:
-            return self.command_request(UNFOLLOW)
+            return self.command_request(UNFOLLOW, fields={"since": self.followed_since})
         if not self.is_following and now >= self.follow_not_before:
             return self.command_request(FOLLOW, fields=self.follow_fields)
         if self.is_following and not self.missing_parts and (vote := self.pending_vote) is not None:
--- a/lemonlead/ledger/dispatcher.py
+++ b/lemonlead/ledger/dispatcher.py
@@ -126,6 +126,8 @@
         if self.state.full:
             self.count("turned away: ids")
             return self.refuse(ticket, NOT_DONE, self.replica.leader)
+        if (logged := command.to_log()) is not command:
+            data = msgspec.json.encode(logged)
         self.replica.propose(now, self.wall_ms, data, ticket)
 
     def read(self, now, ticket):
--- a/lemonlead/ledger/followers.py
+++ b/lemonlead/ledger/followers.py
@@ -37,14 +37,21 @@
 
 
 class Unfollow(Command, frozen=True, tag="unfollow"):
-    """A gateway that has finished sending requests asks not to be waited for any more."""
+    """A gateway that has finished sending requests asks not to be waited for any more. `since` is the index
+    of its follow command: another process may have followed under its name meanwhile. Older gateways don't
+    send it; theirs ends whatever stay is current."""
 
     gateway: ExistingName
+    since: Annotated[int, Meta(ge=0)] = 0
+
+    def to_log(self):
+        """Members that don't know `since` refuse the command, but all know `Forgotten`."""
+        return Forgotten(id=self.id, gateway=self.gateway, since=self.since) if self.since else self
 
 
 class Forgotten(Command, frozen=True, tag="forgotten"):
-    """Proposed by the leader when a gateway's lease and grace period have expired. The gateway may follow
-    again."""
+    """The end of one stay of a gateway: proposed by the leader when its lease and grace period have expired,
+    or in place of an `Unfollow` that names the stay. The gateway may follow again."""
 
     gateway: Name
     since: Annotated[int, Meta(ge=0)]
@@ -59,6 +66,8 @@
 
 
 def unfollow(transaction, command):
+    if command.since:
+        return forgotten(transaction, command)
     transaction.drop("followers", command.gateway)
 
 
--- a/lemonlead/ledger/state.py
+++ b/lemonlead/ledger/state.py
@@ -41,6 +41,10 @@
         """Returns whether the command may create something under a name in it."""
         return True
 
+    def to_log(self):
+        """Returns the command in the form in which a leader proposes it."""
+        return self
+
 
 class LedgerSettings(Struct, frozen=True):
     """Settings that all members share, stored when the cluster is formed. Times are nanoseconds of ledger
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -100,6 +100,23 @@
     assert world.dispatcher.counts["polls of another stay"] == 3
 
 
+def test_an_unfollow_that_names_a_stay_is_logged_as_older_members_read_it():
+    """Guards against members of two versions that apply one log entry differently."""
+    world, written = SingleMember(), []
+    earlier = world.command("follow", gateway="gw")
+    later = world.command("follow", gateway="gw")
+    world.host.write = lambda write: (written.extend(write.entries), world.host.writes.append(write))
+    for since, left in ((earlier, {"gw": later}), (later, {})):
+        world.command("unfollow", gateway="gw", since=since)
+        rows = world.dispatcher.state.part("followers")
+        assert {name: row.since for name, row in rows.items()} == left
+    logged = [msgspec.json.decode(entry.data) for entry in written]
+    assert [(one["kind"], one["since"]) for one in logged] == [("forgotten", earlier), ("forgotten", later)]
+    world.dispatcher.command(world.now, msgspec.json.encode(dict(logged[1], kind="unfollow")), "again")
+    world.advance()
+    assert world.host.answers["again"] == world.host.answers[world.number]
+
+
 def test_a_poll_for_parts_ends_only_by_changes_of_them():
     world = SingleMember()
     at = world.dispatcher.state.index
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -361,11 +361,22 @@
     polling.follow_accepted(NOW, 40)
     polling.failed(NOW)
     polling.leave(NOW)
-    assert polling.next(NOW).kind == UNFOLLOW
+    request = polling.next(NOW)
+    assert request.kind == UNFOLLOW and json.loads(request.body)["since"] == 40
     polling.unfollowed()
     assert polling.next(NOW) is None
 
 
+def test_a_gateway_that_knows_of_no_stay_of_its_own_ends_none():
+    """Guards against an unfollow that ends the stay of another process of the name."""
+    polling = new_polling()
+    assert polling.check_cluster(NOW, "c1")
+    polling.follow_accepted(NOW, 40)
+    assert not polling.check_cluster(NOW, "c2")
+    polling.leave(NOW)
+    assert polling.next(NOW) is None and polling.left
+
+
 def test_replaced_cluster_is_ignored():
     polling = new_polling()
     assert polling.check_cluster(NOW, "c1")
