Permits and holds wait for a gateway whose follow is logged but not applied yet

Traced: permit 95, follow 96, permit_clear 97, the last decided on the state as of 95. Change: waited_for counts a follow command that this term's log holds and that is not applied.

--- a/lemonlead/ledger/dispatcher.py
+++ b/lemonlead/ledger/dispatcher.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from .faults import Senseless
-from .followers import Followers
+from .followers import Follow, Followers
 from .log import ENTRY_OVERHEAD_BYTES
 from .membership import Change
 from .polls import Poll, Polls
@@ -128,7 +128,10 @@
             return self.refuse(ticket, NOT_DONE, self.replica.leader)
         if (logged := command.to_log()) is not command:
             data = msgspec.json.encode(logged)
+        last = self.replica.last
         self.replica.propose(now, self.wall_ms, data, ticket)
+        if isinstance(command, Follow) and self.replica.last > last:
+            self.followers.proposed(command.gateway, self.replica.term, self.replica.last)
 
     def read(self, now, ticket):
         self.replica.read(now, Read(ticket))
--- a/lemonlead/ledger/followers.py
+++ b/lemonlead/ledger/followers.py
@@ -6,7 +6,7 @@
 acknowledged nothing.
 """
 
-from typing import Annotated
+from typing import Annotated, NamedTuple
 
 from msgspec import Meta, Struct
 
@@ -83,16 +83,29 @@
 INNER = (Forgotten,)
 
 
+class ProposedFollow(NamedTuple):
+    """A follow command in the leader's log."""
+
+    gateway: str
+    term: int
+    index: int
+
+
 class Followers:
     """What a leader knows of each follower. It is not replicated; its size is bounded by the state."""
 
     def __init__(self):
         # Name to (time last heard from, index applied up to, `since` of the follow command that this is of).
         self.progress = {}
+        self.last_proposed = ProposedFollow("", 0, 0)
 
     def became_leader(self, now):
         self.progress = {}
 
+    def proposed(self, gateway, term, index):
+        """Entry `index` of the leader's log is a follow command."""
+        self.last_proposed = ProposedFollow(gateway, term, index)
+
     def polled(self, now, name, after, since=None):
         """A follower asked for what comes after this index. `since` is that of its follow command, or None
         for the one last seen."""
@@ -119,8 +132,12 @@
         """Returns the sorted names of the followers that may still act on the state before this entry.
 
         A follower counts until it has applied the entry, or until its lease and grace period have expired
-        since it was last heard from.
+        since it was last heard from. A gateway whose follow command is in the log but not applied yet counts
+        too: what is proposed now comes after it in the log.
         """
+        last = self.last_proposed
+        if last.term == state.term and last.index > state.index:
+            return [last.gateway]
         patience = state.settings.lease + state.settings.grace
         self.update(now, state.part("followers"))
         progress = sorted(self.progress.items())
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -117,6 +117,27 @@
     assert world.host.answers["again"] == world.host.answers[world.number]
 
 
+def test_a_gateway_whose_follow_is_not_applied_yet_is_waited_for():
+    """Guards against a permit cleared past a gateway: the leader decides on a state without it, but the
+    entry comes after its follow command in the log."""
+    world = SingleMember()
+    index = world.command("node", node="n2", site="s", units=5)
+    world.propose("follow", gateway="gw")
+    assert world.waits_for(index) == ["gw"]
+    world.advance()
+    assert world.waits_for(index) == ["gw"]
+    world.command("unfollow", gateway="gw")
+    assert world.waits_for(index) == []
+
+
+def test_a_follow_of_an_earlier_term_that_was_lost_is_not_waited_for():
+    world = SingleMember()
+    world.dispatcher.followers.proposed(
+        "gw", world.dispatcher.state.term - 1, world.dispatcher.state.index + 9
+    )
+    assert world.waits_for(world.dispatcher.state.index) == []
+
+
 def test_a_poll_for_parts_ends_only_by_changes_of_them():
     world = SingleMember()
     at = world.dispatcher.state.index
