--- a/lemonlead/ledger/capacity.py
+++ b/lemonlead/ledger/capacity.py
@@ -18,7 +18,8 @@
 
 Units = Annotated[int, Meta(ge=0, le=10**9)]
 Millis = Annotated[int, Meta(ge=0, le=10**14)]
-ExistingNames = Annotated[tuple[ExistingName, ...], Meta(min_length=1, max_length=20_000)]
+MAX_NAMED_NODES = 20_000  # in one command
+ExistingNames = Annotated[tuple[ExistingName, ...], Meta(min_length=1, max_length=MAX_NAMED_NODES)]
 MAX_RECORDS_PER_PART = 200_000  # a command that would create one more is refused
 
 COLD_STEPS = 4  # per cold period: the unavailable units of a site's cold nodes are summed in steps of time
@@ -288,7 +289,7 @@
 
     group: Name
     nodes: ExistingNames
-    quorum: Annotated[int, Meta(ge=1, le=20_000)]
+    quorum: Annotated[int, Meta(ge=1, le=MAX_NAMED_NODES)]
 
 
 class Report(Command, frozen=True, tag="report"):
--- a/lemonlead/ledger/state.py
+++ b/lemonlead/ledger/state.py
@@ -41,6 +41,10 @@
         """Returns whether the command may create something under a name in it."""
         return True
 
+    def check_new(self):
+        """Raises Senseless if clients may not send the command. One that is in the log is applied all the
+        same, as members of older versions did."""
+
     def to_log(self):
         """Returns the command in the form in which a leader proposes it."""
         return self
@@ -195,8 +199,10 @@
                 if not isinstance(command, self.inner)
                 else f"kind {kind!r} is not for clients"
             )
-        if outside and command.creates():
-            check_new_names(command, data)
+        if outside:
+            command.check_new()
+            if command.creates():
+                check_new_names(command, data)
         return command
 
     def apply(self, state, entry):
--- a/lemonlead/moves/rules.py
+++ b/lemonlead/moves/rules.py
@@ -30,6 +30,7 @@
     Outdated,
     TooLate,
 )
+from .placement import Placement
 
 # Steps of the source's record. At ASKED the destination has not been called yet. Up to SHIFTING a move may be
 # stopped. A move that is not done ends by way of ROLLING_BACK (no request goes to the destination any more)
@@ -68,6 +69,7 @@
 MAX_MOVES = 10_000
 REMEMBER_NS = 30 * 86_400_000_000_000  # ledger time for which the name of an ended move stays known
 MAX_HOLDS = 4096
+MAX_HOLD_NODES = capacity.MAX_NAMED_NODES  # nodes of all reservations of a hold together
 MAX_PIECES = 500  # reservations of one move, its groups, and the members of these groups
 
 SHORT_NAME = Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]*$")
@@ -548,7 +550,7 @@
 
     reservation: Name
     units: capacity.Units
-    nodes: Annotated[int, Meta(ge=0, le=20_000)]
+    nodes: Annotated[int, Meta(ge=0, le=capacity.MAX_NAMED_NODES)]
     site: Annotated[str, Meta(max_length=100)]
 
 
@@ -557,7 +559,7 @@
 
     group: Name
     size: Annotated[int, Meta(ge=1, le=MAX_PIECES)]
-    quorum: Annotated[int, Meta(ge=0, le=20_000)]
+    quorum: Annotated[int, Meta(ge=0, le=capacity.MAX_NAMED_NODES)]
 
 
 class HoldTake(HoldCommand, frozen=True, tag="hold_take"):
@@ -567,6 +569,10 @@
     pieces: Annotated[tuple[ReservationPiece, ...], Meta(min_length=1, max_length=MAX_PIECES)]
     groups: Annotated[tuple[GroupPiece, ...], Meta(max_length=MAX_PIECES)] = ()
 
+    def check_new(self):
+        if (nodes := sum(piece.nodes for piece in self.pieces)) > MAX_HOLD_NODES:
+            raise Senseless(f"pieces on {nodes} nodes together; at most {MAX_HOLD_NODES} in one move")
+
 
 class HoldWarm(HoldCommand, frozen=True, tag="hold_warm"):
     """Start the service at the destination, and answer whether it is warm there."""
@@ -628,14 +634,15 @@
     names = tuple(piece.reservation for piece in command.pieces)
     if len(set(names)) != len(names):
         raise Senseless("a reservation is named twice")
+    placement = Placement(transaction)
     # Reservations on nodes come first, because fewer places suit them.
     for piece in sorted(command.pieces, key=lambda piece: (not piece.nodes, -piece.units, piece.reservation)):
         if transaction.get("reservations", piece.reservation) is not None:
             raise NoRoomThere(f"reservation {piece.reservation} stands there already", "free it there")
         capacity.check_part_size(transaction, "reservations", piece.reservation)
-        reservation = place_reservation(transaction, command, piece)
+        reservation = place_reservation(transaction, command, piece, placement)
         capacity.add_reservation(transaction, piece.reservation, reservation)
-    groups = tuple(place_group(transaction, piece) for piece in command.groups)
+    groups = tuple(place_group(transaction, piece, placement) for piece in command.groups)
     hold = Hold(command.source, command.move, command.epoch, command.service, HELD, names, groups)
     transaction.put("holds", command.key, replace(hold, at=transaction.index))
     services.mark(transaction, command.service, command.key)
@@ -647,13 +654,13 @@
         raise NoRoomThere(f"{MAX_HOLDS} holds are known there", "end moves that come here")
 
 
-def place_reservation(transaction, command, piece):
+def place_reservation(transaction, command, piece, placement):
     """Takes the units of this piece and returns its reservation; raises NoRoomThere with what is missing."""
     if not piece.nodes:
-        site = choose_site(transaction, piece)
+        site = choose_site(piece, placement)
         capacity.take_site(transaction, site, piece.units)
         return Reservation(command.service, piece.units, (), site, command.key)
-    chosen = nodes_with_room(transaction, piece.units)[: piece.nodes]
+    chosen = placement.nodes(piece.nodes, piece.units)
     if len(chosen) < piece.nodes:
         raise NoRoomThere(
             f"{piece.nodes} nodes with {piece.units} units free are wanted for {piece.reservation}, "
@@ -669,43 +676,21 @@
     return Reservation(command.service, piece.units, chosen, "", command.key)
 
 
-def choose_site(transaction, piece):
-    """Returns the site of the same name if it has room, else the one with the most room. Nodes that are to go
-    for a drain are not counted as room."""
-    leaving = {}
-    for name, node in transaction.part("nodes").items():
-        if node.cordon_ms and capacity.up(node):
-            leaving[node.site] = leaving.get(node.site, 0) + max(capacity.node_free(transaction, name), 0)
-    free = {
-        site: capacity.site_free(transaction, site) - leaving.get(site, 0)
-        for site in transaction.part("sites")
-    }
-    if free.get(piece.site, -1) >= piece.units:
-        return piece.site
-    best = max(sorted(free), key=free.get, default="")
-    if not best or free[best] < piece.units:
+def choose_site(piece, placement):
+    """Returns the site of the same name if it has room, else the one with the most room."""
+    site, free = placement.site(piece.site, piece.units)
+    if not site or free < piece.units:
         raise NoRoomThere(
             f"{piece.units} units in one site are wanted for {piece.reservation}, "
-            f"{max(free.get(best, 0), 0)} are free" + (f" at {best}" if best else "")
+            f"{max(free, 0)} are free" + (f" at {site}" if site else "")
         )
-    return best
-
-
-def nodes_with_room(transaction, units):
-    """Returns the nodes with so many units free that no drain wants, those with the most free units first."""
-    free = []
-    for name, node in transaction.part("nodes").items():
-        if capacity.up(node) and not node.cordon_ms:
-            left = min(capacity.node_free(transaction, name), capacity.site_free(transaction, node.site))
-            if left >= units:
-                free.append((-left, name))
-    return tuple(name for _, name in sorted(free))
+    return site
 
 
-def place_group(transaction, piece):
+def place_group(transaction, piece, placement):
     if transaction.get("groups", piece.group) is not None:
         raise NoRoomThere(f"group {piece.group} stands there already", "rename it there")
-    nodes = nodes_with_room(transaction, 0)[: piece.size]
+    nodes = placement.members(piece.size)
     if len(nodes) < piece.size:
         raise NoRoomThere(f"{piece.size} nodes are wanted for group {piece.group}, {len(nodes)} are there")
     return PlacedGroup(piece.group, nodes, piece.quorum)
