Gateways take the ledger's state by pages, as they read 4 MiB of an answer at most

Cause: members answer a part whole, gateways bound what they read. Change: the query page_after and the field next_page; older members ignore the one and lack the other, and are read as before.

--- a/lemonlead/following/driver.py
+++ b/lemonlead/following/driver.py
@@ -141,16 +141,15 @@
         if request.kind in (FOLLOW, UNFOLLOW, VOTE):
             return self.command_answered(request, status, response)
         if request.kind == STATE and status in (400, 404) and request.part != "nodes":
-            return self.state_received(request, responses.missing_part(request.part))
+            return self.state_received(request, responses.missing_part(request.part), "")
         if status != 200:
             return f"status {status}"
         if not self.is_current_cluster(response):
             return self.ignored_reason(response)
-        return (
-            self.state_received(request, responses.parse_state(response, request.part))
-            if request.kind == STATE
-            else self.events_received(request, response)
-        )
+        if request.kind == STATE:
+            next_page = responses.next_page(response, self.polling.page_after)
+            return self.state_received(request, responses.parse_state(response, request.part), next_page)
+        return self.events_received(request, response)
 
     def is_current_cluster(self, response):
         """Returns whether a response comes from the cluster that is followed. If not, the parts of the state
@@ -191,10 +190,11 @@
             return f"status {status}"
         return ""
 
-    def state_received(self, request, update):
-        """Takes a part of the whole state and applies it once all parts are there."""
+    def state_received(self, request, update, next_page):
+        """Takes a part of the whole state, or a page of it, and applies all once they are there."""
         self.state_parts.append(update)
-        if self.polling.part_received(request.part):
+        responses.check_record_count(self.state_parts)
+        if self.polling.part_received(request.part, next_page):
             parts, self.state_parts = self.state_parts, []
             if not self.apply_update(responses.join_updates(parts), ""):
                 self.polling.restart_from_state()
--- a/lemonlead/following/ledger_polling.py
+++ b/lemonlead/following/ledger_polling.py
@@ -10,6 +10,7 @@
 import random
 from collections import deque
 from dataclasses import dataclass
+from urllib.parse import quote
 
 from .merge import MAX_LEFT_CLUSTERS
 from .responses import POLLED_PARTS, retry_pause
@@ -64,6 +65,7 @@
         self.left = False
         self.all_parts = (*STATE_PARTS, *more)
         self.missing_parts = list(self.all_parts)  # to be received before events can be polled
+        self.page_after = ""  # the last key received of the first missing part
         self.pending_vote = None  # the vote to send: (command number, fields)
         self.vote_count = 0
         self.unresponsive_until = {}  # time by member
@@ -100,7 +102,8 @@
         self.reset_waits()
         self.followed_since = since
         self.command_number += 1
-        self.is_following, self.missing_parts = True, list(self.all_parts)
+        self.is_following = True
+        self.request_all_parts()
 
     def follow_refused(self, now):
         """Records that the ledger has no room for another follower. The gateway applies the ledger's state
@@ -109,9 +112,13 @@
         self.command_number += 1
         self.follow_not_before = now + FOLLOW_RETRY_NS
 
-    def part_received(self, part):
-        """Records that a part of the whole state was received. Returns whether it was the last one."""
+    def part_received(self, part, next_page=""):
+        """Records that a part of the whole state was received, or a page of it if `next_page` has the last
+        key of that page. Returns whether everything has been received."""
         self.reset_waits()
+        self.page_after = next_page
+        if next_page:
+            return False
         self.missing_parts.remove(part)
         self.counts["wholes"] += not self.missing_parts
         return not self.missing_parts
@@ -131,7 +138,12 @@
         """Starts again from the whole state, because the member no longer keeps the requested changes. The
         ledger may have dropped the follower meanwhile."""
         self.reset_waits()
-        self.is_following, self.missing_parts = False, list(self.all_parts)
+        self.is_following = False
+        self.request_all_parts()
+
+    def request_all_parts(self):
+        """Starts to request the whole state."""
+        self.missing_parts, self.page_after = list(self.all_parts), ""
 
     def lease_lost(self):
         """Records that the gateway's lease ran out."""
@@ -147,7 +159,7 @@
             self.counts["passes"] += 1
             return self.switch_member(member)
         if self.missing_parts or unread:
-            self.missing_parts = list(self.all_parts)  # all of them from the same member
+            self.request_all_parts()  # all of them from the same member
         if response is None:
             self.unresponsive_until[self.member] = now + UNRESPONSIVE_NS
         self.switch_member(self.next_member())
@@ -225,9 +237,9 @@
         if self.is_following and not self.missing_parts and (vote := self.pending_vote) is not None:
             return self.command_request(VOTE, *vote)
         if self.missing_parts:
-            return self.request(
-                STATE, "GET", f"/v1/state/{self.missing_parts[0]}", part=self.missing_parts[0]
-            )
+            part = self.missing_parts[0]
+            path = f"/v1/state/{part}?page_after={quote(self.page_after)}"
+            return self.request(STATE, "GET", path, part=part)
         path = (
             f"/v1/events?after={self.applied_index}&gateway={self.gateway}&since={self.followed_since}"
             f"&parts={','.join(POLLED_PARTS)}"
--- a/lemonlead/following/responses.py
+++ b/lemonlead/following/responses.py
@@ -119,12 +119,28 @@
     )
 
 
+def next_page(response, page_after):
+    """Returns the last key of a page of a part if there are more, else an empty string. Members that don't
+    know pages return the whole part. `page_after` is the last key of the page before."""
+    key = response.get("next_page", "")
+    if type(key) is not str or key and key <= page_after:
+        raise Unreadable(f"next_page is {key!r} after {page_after!r}"[:300])
+    return key
+
+
 def missing_part(part):
     """Returns a LedgerUpdate for a part that the member doesn't serve: it has no records and doesn't limit
     the index."""
     return LedgerUpdate(1 << 62, [], (part,))
 
 
+def check_record_count(updates):
+    """Raises Unreadable if the pages of a part have more records than a part may have."""
+    last = updates[-1].whole
+    if sum(len(update.changes) for update in updates if update.whole == last) > MAX_RECORDS:
+        raise Unreadable(f"more than {MAX_RECORDS} records of {last}")
+
+
 def join_updates(updates):
     """Returns one LedgerUpdate for several of one cluster. It is true as of the earliest of them; later
     changes are polled again."""
--- a/lemonlead/member/http_server.py
+++ b/lemonlead/member/http_server.py
@@ -27,6 +27,7 @@
 MAX_BOOTSTRAP_BYTES = 64 * 1024 * 1024
 BODY_TIMEOUT_SECONDS = 5  # for a body to arrive
 COMMAND_TIMEOUT_SECONDS = 10  # then a command without an answer is UNKNOWN, and a read NOT_DONE
+PAGE_BYTES = 1024 * 1024  # a page of a part's records ends with the record that reaches this size
 ROWS_PER_SLICE = 500  # records encoded before the event loop does other things
 RETRY_MS = 300
 
@@ -61,6 +62,21 @@
     return b"{" + b",".join(done + [b",".join(some)] if some else done) + b"}"
 
 
+async def encode_page(rows, after):
+    """Returns the records with keys after this one, up to PAGE_BYTES, as `encode_rows`, and the last of their
+    keys if there are more, else an empty string."""
+    keys = sorted(key for key in rows if key > after)
+    done, size = [], 0
+    for number, key in enumerate(keys):
+        if size >= PAGE_BYTES:
+            return b"{" + b",".join(done) + b"}", keys[number - 1]
+        done.append(ENCODE(key) + b":" + ENCODE(rows[key]))
+        size += len(done[-1])
+        if len(done) % ROWS_PER_SLICE == 0:
+            await asyncio.sleep(0)
+    return b"{" + b",".join(done) + b"}", ""
+
+
 def query_number(request, name):
     """Returns a whole number from the query, 0 if it is not there."""
     text = request.query.get(name, "0")
@@ -238,10 +254,13 @@
             if state is None:
                 return await self.forward_to_leader(request, leader)
         async with self.large_response_slots:
+            rows = assembly.describe_part(state, name)
+            if "page_after" in request.query:
+                items, more["next_page"] = await encode_page(rows, request.query["page_after"])
+            else:
+                items = await encode_rows(rows)
             head = ENCODE({"at": state.index, "moment": state.moment, "cluster_id": self.cluster_id, **more})
-            return json_response(
-                200, head[:-1], b',"items":', await encode_rows(assembly.describe_part(state, name)), b"}"
-            )
+            return json_response(200, head[:-1], b',"items":', items, b"}")
 
     async def events(self, request):
         after, since = query_number(request, "after"), query_number(request, "since")
--- a/lemonlead/standins/fake_ledger.py
+++ b/lemonlead/standins/fake_ledger.py
@@ -9,6 +9,7 @@
 import time
 import zlib
 from collections import Counter
+from urllib.parse import unquote
 
 from .server import Server
 
@@ -33,6 +34,7 @@
         self.reports = []  # (node, state)
         self.votes = []  # commands of votes on moves, as received
         self.events, self.ids, self.polls, self.counts = [], {}, {}, Counter()
+        self.page_records = 1000  # in a page of a part; None: as a member that knows no pages
         self.leader = None  # the name of the server that leads; None: all of them
 
     def put(self, part, key, record):
@@ -97,18 +99,24 @@
             answer = self.ids[command["id"]] = 200, body
             return answer
 
-    def state(self, part):
+    def state(self, part, page_after):
         with self.changed:
             if part not in self.parts:
                 return 404, {}
             head = {"cluster_id": self.id, "at": self.at, "moment": self.moment}
-            return 200, {**head, "items": dict(self.parts[part])}
+            if self.page_records is None or page_after is None:
+                return 200, {**head, "items": dict(self.parts[part])}
+            keys = sorted(key for key in self.parts[part] if key > page_after)
+            page = keys[: self.page_records]
+            head["next_page"] = page[-1] if len(page) < len(keys) else ""
+            return 200, {**head, "items": {key: self.parts[part][key] for key in page}}
 
     def answer(self, path, body, wait=MAX_POLL_SECONDS):
         if path == "/v1/commands":
             return self.command(json.loads(body))
         if path.startswith("/v1/state/"):
-            return self.state(path.rsplit("/", 1)[1])
+            part, paged, page_after = path.removeprefix("/v1/state/").partition("?page_after=")
+            return self.state(part, unquote(page_after) if paged else None)
         query = dict(pair.split("=") for pair in path.partition("?")[2].split("&"))
         parts = query["parts"].split(",") if "parts" in query else ()
         return self.events_after(
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -500,7 +500,68 @@
     assert running.ready() == ["i0"]
     ledger.acknowledged("g0", index)
     paths = [path for server in ledger.servers for _, path in sorted(server.asked)]
-    assert paths[:3] == ["/v1/commands", "/v1/state/permits", "/v1/state/nodes"]
+    assert paths[:3] == ["/v1/commands", "/v1/state/permits?page_after=", "/v1/state/nodes?page_after="]
+
+
+@pytest.mark.parametrize("page_records", [1, 2, None])
+def test_the_state_is_taken_page_by_page(ledger, page_records):
+    """Guards against a gateway that never hears a ledger whose state is larger than one response may be."""
+    ledger.page_records = page_records
+    for number in range(5):
+        ledger.node(f"other {number}\n")
+    index = ledger.permit("i1")
+    ledger.drop_changes()
+    running = ledger.follow(wait=20_000_000_000)
+    assert running.ready() == ["i0"]
+    ledger.acknowledged("g0", index)
+
+
+def test_a_state_larger_than_a_response_may_be_is_heard(ledger):
+    """Guards against the same with as many nodes: 5 MB, where a gateway reads 4 MiB."""
+    with ledger.changed:
+        ledger.parts["nodes"] |= {
+            f"other-{n}": {"site": "s", "units": 1, "name": "x" * 1000} for n in range(5000)
+        }
+    index = ledger.permit("i1")
+    ledger.drop_changes()
+    ledger.follow(wait=20_000_000_000)
+    ledger.acknowledged("g0", index)
+
+
+def test_a_state_that_was_passed_on_half_way_is_taken_from_its_start():
+    """Guards against a gateway that drops the parts it has as it is sent to another member, and then takes
+    what is left for the whole state."""
+    polling = new_polling()
+    polling.follow_accepted(NOW, 40)
+    assert not polling.part_received("permits") and not polling.part_received("nodes", "n7")
+    assert polling.next(NOW).path == "/v1/state/nodes?page_after=n7"
+    polling.failed(
+        NOW, member=next(name for name in ("m1", "m2", "m3") if name != polling.member), response={}
+    )
+    assert polling.next(NOW).path == "/v1/state/permits?page_after="
+
+
+@pytest.mark.parametrize("key", ["n3", "n2", "", 7, None])
+def test_a_page_ends_after_the_page_before(key):
+    """Guards against pages that are asked for without an end."""
+    response = {"next_page": key}
+    if key == "":
+        assert responses.next_page(response, "n3") == ""
+    else:
+        with pytest.raises(Unreadable):
+            responses.next_page(response, "n3")
+
+
+def test_pages_have_no_more_records_than_a_part(monkeypatch):
+    monkeypatch.setattr(responses, "MAX_RECORDS", 3)
+    pages = [
+        responses.LedgerUpdate(1, [("nodes", name, {}) for name in page], ("nodes",)) for page in ("ab", "cd")
+    ]
+    responses.check_record_count(
+        [responses.LedgerUpdate(1, [("permits", "a", {})] * 3, ("permits",)), pages[0]]
+    )
+    with pytest.raises(Unreadable):
+        responses.check_record_count(pages)
 
 
 OF = {"cluster_id": "c1"}
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -1,6 +1,7 @@
 """Members as real processes on loopback: checks what `docs/cluster.md` says of their HTTP interface, and that
 a cluster survives kills, pauses, failed disks and lost machines."""
 
+import asyncio
 import json
 import random
 import resource
@@ -9,7 +10,7 @@
 
 import pytest
 
-from lemonlead.member import run
+from lemonlead.member import http_server, run
 from lemonlead.member.http_server import COMMAND_TIMEOUT_SECONDS
 from lemonlead.standins.members import Cluster, until
 
@@ -102,6 +103,27 @@
     )
 
 
+def test_pages_of_a_part_hold_each_record_once(monkeypatch):
+    """Guards against a page that leaves a record out, or never ends."""
+    monkeypatch.setattr(http_server, "PAGE_BYTES", 40)
+    rows, found, after = {f"n{n}": {"units": n * 10**n} for n in range(12)}, {}, None
+    while after != "":
+        items, after = asyncio.run(http_server.encode_page(rows, after or ""))
+        page = json.loads(items)
+        assert page and found.keys().isdisjoint(page)
+        found |= page
+    assert found == rows and asyncio.run(http_server.encode_page({}, "")) == (b"{}", "")
+
+
+def test_a_part_can_be_read_by_pages(cluster):
+    name = cluster.wait_leader()
+    whole = cluster.ask(name, "GET", "/v1/state/members")[1]["items"]
+    last = max(whole)
+    assert cluster.ask(name, "GET", "/v1/state/members?page_after=")[1]["items"] == whole
+    page = cluster.ask(name, "GET", f"/v1/state/members?page_after={last}")[1]
+    assert (page["items"], page["next_page"]) == ({}, "")
+
+
 def test_repeated_command_gets_the_same_answer_from_any_member(cluster):
     answers = {}
     for number, name in enumerate(cluster.initial_members, 100):
