A state that is passed on half way is taken from its start, permits included

Cause: the parts received are dropped, but only the missing ones are asked for; what is left was taken for the whole. Change: any failure in the middle of the state asks for all parts again.

--- a/lemonlead/following/ledger_polling.py
+++ b/lemonlead/following/ledger_polling.py
@@ -154,12 +154,12 @@
         `response` the response or None when none could be read. With `unread`, a response couldn't be parsed:
         it may have been a state too large for one response, so the state is requested by parts."""
         self.counts["failures"] += 1
+        if self.missing_parts or unread:
+            self.request_all_parts()  # all of them from one member
         if member in self.members and member != self.member and self.redirects < MAX_REDIRECTS:
             self.redirects += 1
             self.counts["passes"] += 1
             return self.switch_member(member)
-        if self.missing_parts or unread:
-            self.request_all_parts()  # all of them from the same member
         if response is None:
             self.unresponsive_until[self.member] = now + UNRESPONSIVE_NS
         self.switch_member(self.next_member())
--- a/lemonlead/standins/fake_ledger.py
+++ b/lemonlead/standins/fake_ledger.py
@@ -150,7 +150,8 @@
     """One member of the cluster.
 
     `wrong`: functions of (path, body bytes) that return the bytes of the next responses, in place of the
-    right ones; the connection ends after each. `asked`: the calls received.
+    right ones; the connection ends after each. `asked`: the calls received. `before_answer`: a function of
+    the path that is called before each right response.
     """
 
     def __init__(self, ledger, name="m1"):
@@ -158,6 +159,7 @@
         self.ledger = ledger
         self.name = name
         self.wrong = []
+        self.before_answer = lambda path: None
         self.asked = []  # (time, path)
 
     def serve(self, sock):
@@ -173,6 +175,7 @@
                 self.asked.append((time.monotonic(), path))
                 if self.wrong:
                     return sock.sendall(self.wrong.pop(0)(path, body) or b"")
+                self.before_answer(path)
                 sock.sendall(http_response(*self.answer(path, body)))
 
     def answer(self, path, body):
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -541,6 +541,26 @@
     assert polling.next(NOW).path == "/v1/state/permits?page_after="
 
 
+def test_a_permit_read_before_the_gateway_was_passed_on_is_obeyed(ledger):
+    """Guards against the same with a ledger that the gateway knows: it acknowledged a permit that it had
+    dropped, and went on to send to its node."""
+    running = ledger.follow()
+    ledger.acknowledged("g0", 3)
+
+    def hand_over(path):
+        if path.startswith("/v1/state/nodes") and ledger.leader is None:
+            names = [server.name for server in ledger.servers]
+            ledger.leader = next(name for name in names if name != running.follower.polling.member)
+
+    for server in ledger.servers:
+        server.before_answer = hand_over
+    with ledger.changed:
+        index = ledger.permit("i1")
+        ledger.drop_changes()
+    ledger.acknowledged("g0", index)
+    assert ledger.leader and running.ready() == ["i0"]
+
+
 @pytest.mark.parametrize("key", ["n3", "n2", "", 7, None])
 def test_a_page_ends_after_the_page_before(key):
     """Guards against pages that are asked for without an end."""
