Answers that clients do not take are bounded in sum, by the limit on memory

Cause: unsent bytes were bounded for each client alone. Change: they are summed; past a sixteenth of the limit no more is read from a client that lets an answer lie, past an eighth those with the most are ended as slow readers.

--- a/lemonlead/gateway/clients.py
+++ b/lemonlead/gateway/clients.py
@@ -88,6 +88,7 @@
         self.broken = False  # nothing more can be sent
         # When bytes of a response were last sent or queued, or last seen not acknowledged.
         self.last_response_at = time.monotonic()
+        self.counted_unsent = 0  # of `unsent`, as counted in the server's sum
         self.sent_bytes = 0  # of responses, to the kernel
         # How many of them the client's system had as `check_progress` found more under way, and when it first
         # found that many; none while nothing is under way.
@@ -279,7 +280,7 @@
         with self.condition:
             self.wait_until(
                 lambda: len(self.pending_requests) < MAX_PENDING_REQUESTS
-                and len(self.unsent) <= MAX_UNSENT_BYTES
+                and len(self.unsent) <= self.server.max_unsent_bytes_of_client()
             )
             if self.broken:
                 raise ConnectionResetError
@@ -350,10 +351,19 @@
                     self.remove_sent(self.sock.send(self.unsent, socket.MSG_DONTWAIT))
                 if self.unsent and not self.broken:
                     self.write_later()
+            self.count_unsent()
             self.condition.notify_all()
+        if self.server.unsent_bytes > self.server.max_unsent_bytes:
+            self.server.end_slow_readers()
         if self.server.stopping:
             self.close_when_idle("stopping")
 
+    def count_unsent(self):
+        """Counts `unsent` in the server's sum. Called with `condition` held after it has changed."""
+        if change := len(self.unsent) - self.counted_unsent:
+            self.counted_unsent += change
+            self.server.add_unsent(change)
+
     def remove_sent(self, count):
         del self.unsent[:count]
         self.sent_bytes += count
@@ -383,6 +393,7 @@
             else:
                 with self.condition:
                     self.remove_sent(sent)
+                    self.count_unsent()
                     self.last_response_at = time.monotonic()
                     self.condition.notify_all()
 
@@ -416,6 +427,8 @@
             requests = self.unanswered_requests()
             self.counted_bytes += sum(pending.counted_bytes for pending in self.pending_requests)
             self.pending_requests.clear()
+            self.unsent.clear()
+            self.count_unsent()
             self.sock.close()
         self.server.reserve_bytes(-self.counted_bytes)
         if requests:
@@ -441,6 +454,8 @@
         self.idle_clients, self.idle_clients_until = deque(), 0.0
         self.large_command_bytes = 0  # of all clients
         self.max_large_command_bytes = config.memory // 8
+        self.unsent_bytes = 0  # of all clients: responses that their systems have no room for
+        self.max_unsent_bytes = config.memory // 8
         self.request_rules = None  # set if LEMONLEAD_SETTINGS names a file
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -556,6 +571,28 @@
             self.large_command_bytes += size
             return True
 
+    def add_unsent(self, change):
+        with self.condition:
+            self.unsent_bytes += change
+
+    def max_unsent_bytes_of_client(self):
+        """Returns how many unsent bytes a client may have while more of its commands are read."""
+        return MAX_UNSENT_BYTES if self.unsent_bytes <= self.max_unsent_bytes // 2 else 0
+
+    def end_slow_readers(self):
+        """Ends the clients with the most unsent bytes until the others are within the memory limit."""
+        with self.condition:
+            clients = sorted(
+                (client for client in self.clients if not client.broken),
+                key=lambda client: len(client.unsent),
+            )
+        left = sum(len(client.unsent) for client in clients)
+        while left > self.max_unsent_bytes and clients:
+            client = clients.pop()
+            left -= len(client.unsent)
+            self.counters.add("slow readers ended for memory")
+            client.end("slow reader")
+
     def client_ended(self, client):
         """The last step of a client's thread, so that the limit on clients also limits threads."""
         self.counters.add(f"clients ended: {client.reason}")
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -934,3 +934,52 @@
         late.go.set()
         until(lambda: len(ran.gateway_server.clients) == 1)
         assert (ran.count("taken"), ran.count("succeeded"), ran.count("left")) == (2, 2, 0)
+
+
+# ---- responses that clients have no room for
+
+
+def unsent(ran):
+    return [len(theirs.unsent) for theirs in list(ran.gateway_server.clients) if not theirs.broken]
+
+
+def test_answers_that_clients_do_not_take_are_bounded_in_sum(tmp_path):
+    """Guards against a gateway that goes over its memory limit while each of its clients keeps its own
+    bound."""
+    held = threading.Event()
+    server = InstanceServer(lambda words: held.wait(60) and value_response(LARGE))
+    with gateway(tmp_path, server.start(), limits={"memory_mb": 4, "sockets": 1024}) as ran:
+        slow, reader = [ran.client(receive_buffer=4096) for _ in range(6)], ran.client()
+        for client in slow:
+            ours = ran.ours(client)
+            ours.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            for _ in range(4):
+                client.ask(b"large")
+            until(lambda ours=ours: len(ours.pending_requests) == 4)
+        held.set()
+        until(lambda: ran.count("succeeded") == 24)
+        assert sum(unsent(ran)) <= ran.gateway_server.config.memory // 8
+        assert reader.ask(b"large").read() == LARGE
+        still = [client for client in slow if ran.ours(client) and not ran.ours(client).broken]
+        assert still and all(client.read() == LARGE for client in still for _ in range(4))
+        for client in slow:
+            client.sock.close()
+        until(lambda: len(ran.gateway_server.clients) == 1)
+        until(lambda: ran.gateway_server.unsent_bytes == 0)
+
+
+def test_a_client_that_lets_answers_lie_sends_no_more_while_memory_is_short(tmp_path):
+    held = threading.Event()
+    server = InstanceServer(lambda words: held.wait(60) and value_response(LARGE))
+    with gateway(tmp_path, server.start(), limits={"memory_mb": 4, "sockets": 1024}) as ran:
+        client, other = ran.client(receive_buffer=4096), ran.client()
+        ours = ran.ours(client)
+        ours.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.ask(b"large")
+        held.set()
+        until(lambda: ours.unsent and not ours.pending_requests)
+        ran.gateway_server.add_unsent(ran.gateway_server.max_unsent_bytes // 2)
+        client.ask(b"large")
+        until(lambda: not ours.has_unread_bytes())
+        assert other.ask(b"large").read() == LARGE and not ours.pending_requests
+        assert [client.read(), client.read()] == [LARGE, LARGE]
