Where lists are pushed, the next call after a refused one comes within the grace

Seen: up to 1 s between refused calls, where what discovery has as it returns counts at once and the grace for a drain is 0.25 to 0.5 s. Cause: the pauses of balancer and connection did not go by the settings. Change: both end within 0.8 of the grace there (list_calls.py). The test built the connection by the pauses of that time; it now takes the one that Discovery builds, and fails before (0.75 s for 0.25).

--- a/lemonlead/balance.py
+++ b/lemonlead/balance.py
@@ -39,6 +39,7 @@
     VERDICT_ROLL_BACK,
     Attempt,
 )
+from .list_calls import max_refused_call_gap
 from .records import Builds, InstanceGroup, InstanceState, RequestTimers, prune_and_count
 from .significance import probability_bound, smoothed
 
@@ -112,6 +113,7 @@
         self.connect_time = start.connect_time
         self.dedup_margin = 2 * start.step  # before the end of an instance's deduplication window
         self.max_list_call_gap = start.max_list_call_gap
+        self.max_refused_call_gap = max_refused_call_gap(start)
         self.cold_time = start.cold_time
         self.cold_share = max(start.cold_share, 0.01)
         # Part of its share that a cold instance gets; the rest is left for bursts and random peaks.
@@ -262,7 +264,7 @@
             self.list_turned_away_at = now
         # After a failed call the rule of max_list_call_gap allows four times that gap until the next call. At
         # most half of that is used.
-        longest = min(900 * MS, 2 * self.max_list_call_gap or 900 * MS)
+        longest = min(self.max_refused_call_gap, 2 * self.max_list_call_gap or self.max_refused_call_gap)
         self.list_call_at = now + int(self.rng.uniform(longest / 3, longest))
 
     def request_arrived(self, now, request):
--- a/lemonlead/gateway/call_pauses.py
+++ b/lemonlead/gateway/call_pauses.py
@@ -1,10 +1,20 @@
-"""Decides how long to wait until the next call to a discovery that had too many callers. No I/O, no clock."""
+"""Decides how long to wait until the next call to discovery. No I/O, no clock."""
 
-# The longest pause. All callers must call less often until each gets through.
+from ..list_calls import MAX_REFUSED_CALL_GAP, max_refused_call_gap
+
+MAX_PAUSE_SECONDS = 1.0  # after a failed call
+# The longest pause after a call to a server with too many callers. All must call less often until each gets
+# through.
 MAX_CROWDED_PAUSE_SECONDS = 16.0
 CALL_SECONDS = 1.0  # of the time for which a list holds, left for the next call
 
 
+def max_pause_seconds(start):
+    """Returns the longest pause after a failed call by `start`, the interface.StartSettings."""
+    gap = max_refused_call_gap(start)
+    return gap / 1e9 if gap < MAX_REFUSED_CALL_GAP else MAX_PAUSE_SECONDS
+
+
 def max_crowded_pause_seconds(start):
     """Returns the longest pause by `start`, the interface.StartSettings.
 
--- a/lemonlead/gateway/discovery.py
+++ b/lemonlead/gateway/discovery.py
@@ -8,13 +8,14 @@
 from .. import interface
 from ..start_settings import ms_to_ns
 from . import http
-from .call_pauses import max_crowded_pause_seconds
+from .call_pauses import max_crowded_pause_seconds, max_pause_seconds
 from .config import MAX_LIST_DELAY_NS, address, now
 from .managed_connection import ManagedConnection, read_until
 from .sockets import readable
 
 # The time after a change of address from which the balancer is assumed to have the new service's list.
 MAX_LIST_DELAY_AFTER_MOVE_NS = 4_000_000_000
+MIN_PAUSE_SECONDS = 0.05  # before the watch is opened again
 UNREAD_CHECK_SECONDS = 0.05  # between checks for unread updates while an attempt waits for them
 # A watch without a whole line or list for this long is dead; the service sends a line every 2 s.
 SILENCE_TIMEOUT_SECONDS = 4.5
@@ -28,7 +29,11 @@
         self.list_requested = threading.Event()
         self.version = -1
         self.connection = ManagedConnection(
-            config.discovery, config.start.seed, 0.05, 1.0, max_crowded_pause_seconds(config.start)
+            config.discovery,
+            config.start.seed,
+            MIN_PAUSE_SECONDS,
+            max_pause_seconds(config.start),
+            max_crowded_pause_seconds(config.start),
         )
         # Set once a list has arrived, or a watch has ended for another reason than too many callers.
         self.first_result = threading.Event()
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -13,7 +13,7 @@
 from helpers import MS, NOW, Dispatcher, balancer, line, request, request_class, sent
 from lemonlead import interface
 from lemonlead.balance import Balancer
-from lemonlead.gateway import call_pauses, managed_connection
+from lemonlead.gateway import call_pauses, discovery, managed_connection
 from lemonlead.gateway.config import MAX_LIST_DELAY_NS, now
 from lemonlead.records import InstanceState
 from lemonlead.standins.fleet import SETTINGS
@@ -423,9 +423,12 @@
     """Where lists are pushed, what discovery has as it returns counts as known at once. A drain before that
     may then get requests only until the grace is over, so the next call has to come by then."""
     grace_seconds = SETTINGS["Obligations"]["DrainGrace"] / 1e3
-    made = balancer([line(1)], turned_away_calls_confirm=True, **RULES)
+    rules = {**RULES, "turned_away_calls_confirm": True, "drain_grace": int(grace_seconds * 1e9)}
+    made = balancer([line(1)], **rules)
     made.list_failed(NOW, NOW)
-    connection, pauses = managed_connection.ManagedConnection(("127.0.0.1", 1), 7, 0.05, 1.0), []
+    start = interface.StartSettings(now=NOW, seed=7, **rules)
+    config = SimpleNamespace(discovery=("127.0.0.1", 1), start=start)
+    connection, pauses = discovery.Discovery(config, SimpleNamespace(), None, None).connection, []
     connection.condition.wait_for = lambda moving, seconds: pauses.append(seconds)
     for _ in range(10):  # refused calls
         connection.pause_before_retry()
