--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -232,6 +232,10 @@
             thread_pool=ThreadPool(),
             parse_request=lambda *_: request(),
             client_ended=lambda _: None,
+            unsent_bytes=0,
+            max_unsent_bytes=1 << 30,
+            add_unsent=lambda change: None,
+            max_unsent_bytes_of_client=lambda: 1 << 18,
         )
         gateway_server.reserve_bytes, gateway_server.dispatcher = (
             lambda _: True,
