Holds have a module of their own; what nobody uses is gone

The destination's commands and rules are moves/holds.py now, moved as they were; the assembly takes both. Gone: permits_to_revoke and a key length that nothing used, and a method of a faulty store in the tests that overrode nothing.

--- a/benchmarks/commands.py
+++ b/benchmarks/commands.py
@@ -14,7 +14,7 @@
 from lemonlead.ledger import capacity, state
 from lemonlead.ledger.records import COMMAND, Entry, ReplicaConfig
 from lemonlead.member import assembly
-from lemonlead.moves import rules as moves
+from lemonlead.moves import holds, rules
 
 MAX_SECONDS = ReplicaConfig("", "", "", 0).election / 2e9
 SITES = 10
@@ -66,11 +66,11 @@
 
 
 def play_holds(world):
-    pieces = moves.MAX_PIECES
-    each = moves.MAX_HOLD_NODES // pieces
+    pieces = rules.MAX_PIECES
+    each = holds.MAX_HOLD_NODES // pieces
     play_hold(world, 1, [{"units": 1, "nodes": min(each, len(world.nodes)), "site": ""}] * pieces)
     play_hold(world, 2, [{"units": 1, "nodes": 0, "site": "s1"}] * pieces)
-    whole = min(moves.MAX_HOLD_NODES, len(world.nodes) - len(world.nodes) // 20)
+    whole = min(holds.MAX_HOLD_NODES, len(world.nodes) - len(world.nodes) // 20)
     play_hold(world, 3, [{"units": 1, "nodes": whole, "site": ""}])
 
 
@@ -83,7 +83,7 @@
 
 
 def play_moves(world):
-    for number in range(moves.MAX_PIECES):
+    for number in range(rules.MAX_PIECES):
         world.apply("reserve", reservation=f"m{number}", service="print", units=1, site="s1")
     world.apply("move", move="m", service="print", to="far")
     world.apply("move_stop", move="m")
--- a/lemonlead/distribution/records.py
+++ b/lemonlead/distribution/records.py
@@ -20,7 +20,6 @@
 MAX_SCOPES = 2000  # for one gateway
 MAX_REFUSED = 1000  # for one acknowledgement
 MAX_REASON_LENGTH = 300  # characters
-MAX_KEY_LENGTH = 200  # characters
 MAX_INDEX = 1 << 62
 ALL_GATEWAYS = ""  # the scope that every gateway subscribes to
 
--- a/lemonlead/drains/leader_task.py
+++ b/lemonlead/drains/leader_task.py
@@ -19,7 +19,7 @@
     StaysOut,
 )
 from .feasibility import list_names
-from .planner import NODES_PER_PIECE, Plan, PlanRequest, lower_bound_in_pieces, run_to_end
+from .planner import NODES_PER_PIECE, Plan, PlanRequest, lower_bound_in_pieces
 from .request_builder import NEVER, PlanRequestBuilder
 from .rules import (
     CLEAR,
@@ -389,10 +389,6 @@
     return None
 
 
-def permits_to_revoke(state, ledger_time):
-    return run_to_end(find_permits_to_revoke(state, ledger_time))
-
-
 def find_permits_to_revoke(state, ledger_time):
     """Returns the names of nodes whose permits, not acted on yet, have to be revoked because a constraint is
     violated: as many as satisfy each group and site again, those that are not clear yet first."""
@@ -513,4 +509,4 @@
 
 # The fault of a permit that stays too long in a phase.
 LATE_FAULTS = {CLEAR: NotDown, DOWN: NotBack, RETURNING: StaysCatchingUp, RECALLED: StaysOut}
-__all__ = ["DrainTask", "find_obstacles", "permits_to_revoke"]
+__all__ = ["DrainTask", "find_obstacles"]
--- a/lemonlead/member/assembly.py
+++ b/lemonlead/member/assembly.py
@@ -5,6 +5,7 @@
 from ..drains.leader_task import DrainTask
 from ..ledger import capacity, entries, followers, membership
 from ..ledger.state import Ledger
+from ..moves import holds
 from ..moves import rules as moves
 from ..moves.steps import MoveTask
 
@@ -15,7 +16,8 @@
     membership,
     drains,
     moves,
-)  # each has RULES and KINDS; some have INNER
+    holds,
+)  # each has RULES; some have KINDS and INNER
 DESCRIBE = {
     "drains": drains.describe_drains
 }  # parts that are answered in another form than they are stored in
@@ -26,7 +28,7 @@
     rules, kinds, inner = {}, {}, []
     for module in MODULES:
         rules.update(module.RULES)
-        kinds.update(module.KINDS)
+        kinds.update(getattr(module, "KINDS", {}))
         inner += getattr(module, "INNER", ())
     return Ledger(rules, kinds, inner)
 
--- a/lemonlead/moves/steps.py
+++ b/lemonlead/moves/steps.py
@@ -13,7 +13,7 @@
 from msgspec import Meta, Struct
 
 from ..ledger.dispatcher import Call
-from . import rules
+from . import holds, rules
 from .faults import HoldKept
 from .rules import (
     ASKED,
@@ -213,19 +213,19 @@
     def run_reserving(self, now, ledger_time, name, move, state, followers, progress):
         reservations = state.part("reservations")
         pieces = tuple(
-            rules.ReservationPiece(
+            holds.ReservationPiece(
                 one, reservations[one].units, len(reservations[one].nodes), reservations[one].site
             )
             for one in move.reservations
         )
-        groups = tuple(rules.GroupPiece(group.group, len(group.nodes), group.quorum) for group in move.groups)
+        groups = tuple(holds.GroupPiece(group.group, len(group.nodes), group.quorum) for group in move.groups)
         (code, response), call = self.call_destination(
             now,
             name,
             move,
             state,
             progress,
-            rules.HoldTake,
+            holds.HoldTake,
             service=move.service,
             pieces=pieces,
             groups=groups,
@@ -239,7 +239,7 @@
         )
 
     def run_warming(self, now, ledger_time, name, move, state, followers, progress):
-        (code, response), call = self.call_destination(now, name, move, state, progress, rules.HoldWarm)
+        (code, response), call = self.call_destination(now, name, move, state, progress, holds.HoldWarm)
         if code is None:
             return call
         if code != HTTP_OK:
@@ -253,7 +253,7 @@
         if group is None:
             return self.advance(name, move)
         (code, response), call = self.call_destination(
-            now, name, move, state, progress, rules.HoldMember, group=group.group, over=group.over + 1
+            now, name, move, state, progress, holds.HoldMember, group=group.group, over=group.over + 1
         )
         if code is None:
             return call
@@ -274,7 +274,7 @@
             return self.advance(name, move)
         else:
             self.wake_by(now + ACK_CHECK_NS)
-        (code, response), call = self.call_destination(now, name, move, state, progress, rules.HoldWarm)
+        (code, response), call = self.call_destination(now, name, move, state, progress, holds.HoldWarm)
         if code is None:
             return call
         return (
@@ -284,7 +284,7 @@
         )
 
     def run_settling(self, now, ledger_time, name, move, state, followers, progress):
-        (code, response), call = self.call_destination(now, name, move, state, progress, rules.HoldKeep)
+        (code, response), call = self.call_destination(now, name, move, state, progress, holds.HoldKeep)
         if code is None:
             return call
         if code == HTTP_BAD_REQUEST:
@@ -302,7 +302,7 @@
         return self.advance(name, move)
 
     def run_dropping(self, now, ledger_time, name, move, state, followers, progress):
-        (code, response), call = self.call_destination(now, name, move, state, progress, rules.HoldDrop)
+        (code, response), call = self.call_destination(now, name, move, state, progress, holds.HoldDrop)
         if code is None:
             return call
         if code == HTTP_OK:
--- a/lemonlead/standins/two_clusters.py
+++ b/lemonlead/standins/two_clusters.py
@@ -16,7 +16,7 @@
 from ..ledger import capacity, followers
 from ..ledger.records import COMMAND, Entry
 from ..ledger.state import Command, Ledger, State
-from ..moves import rules
+from ..moves import holds, rules
 from ..moves.steps import MoveTask
 from .move_checks import MoveChecker
 
@@ -29,7 +29,7 @@
 
 def ledger(**changed):
     """Returns a ledger with the rules of moves and drains. `changed`: rules to replace, by command class."""
-    all_rules = {**capacity.RULES, **followers.RULES, **drains.RULES, **rules.RULES}
+    all_rules = {**capacity.RULES, **followers.RULES, **drains.RULES, **rules.RULES, **holds.RULES}
     all_rules |= {kind: changed[kind.__name__] for kind in all_rules if kind.__name__ in changed}
     kinds = {**capacity.KINDS, **followers.KINDS, **drains.KINDS, **rules.KINDS}
     return Ledger(all_rules, kinds, followers.INNER + drains.INNER + rules.INNER)
--- a/tests/test_distribution_simulated.py
+++ b/tests/test_distribution_simulated.py
@@ -341,9 +341,6 @@
         self.floor = 0
         return super().list_changes(scope, index)
 
-    def floor_of(self, scope):
-        return 0
-
 
 class LosesRemovals(Store):
     """Drops removals."""
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -14,7 +14,7 @@
 from lemonlead.ledger.faults import Refused
 from lemonlead.ledger.records import COMMAND, Entry
 from lemonlead.member import assembly
-from lemonlead.moves import faults, rules, steps
+from lemonlead.moves import faults, holds, rules, steps
 from lemonlead.standins import promises, two_clusters
 
 from lemonlead.standins.move_faults import (
@@ -404,16 +404,16 @@
     world.run_till(lambda: world.move("m").step == "shifting")
     world.clusters["louis"].up = False
     ebene = world.clusters["ebene"]
-    assert ebene.do(rules.HoldEnd(id="end", hold="louis/m", keep=keep, because="burnt down"))[0] == 200
+    assert ebene.do(holds.HoldEnd(id="end", hold="louis/m", keep=keep, because="burnt down"))[0] == 200
     reservations = ebene.state.part("reservations")
     assert all(row.move == "" for row in reservations.values()) and bool(reservations) is keep
     assert ebene.state.part("holds")["louis/m"].by == "burnt down"
-    assert ebene.do(rules.HoldEnd(id="2", hold="louis/m", keep=keep, because="again"))[0] == 409
+    assert ebene.do(holds.HoldEnd(id="2", hold="louis/m", keep=keep, because="again"))[0] == 409
 
 
 def test_hold_ended_by_an_operator_rolls_the_move_back():
     world = create_world()
-    end = rules.HoldEnd(id="end", hold="louis/m", keep=False, because="mistaken")
+    end = holds.HoldEnd(id="end", hold="louis/m", keep=False, because="mistaken")
     world.when("shifting", lambda: world.clusters["ebene"].do(end), stage=4)
     begin_move(world)
     assert run_until_ended(world) == "refused" and holders(world) == ["louis"]
@@ -499,21 +499,21 @@
 
 @pytest.mark.parametrize("source, code", (("louis", 200), ("a/b", 400), ("", 400)))
 def test_invalid_source_names_are_rejected(source, code):
-    take = rules.HoldTake(
+    take = holds.HoldTake(
         id="x",
         source=source,
         move="m",
         epoch=5,
         floor=5,
         service="s",
-        pieces=(rules.ReservationPiece("r", 1, 0, "ebene"),),
+        pieces=(holds.ReservationPiece("r", 1, 0, "ebene"),),
     )
     assert create_world().clusters["ebene"].do(take)[0] == code
 
 
 def test_ledger_of_the_program_includes_moves():
     found = assembly.make_ledger()
-    assert set(rules.RULES) <= set(found.rules) and set(rules.KINDS) <= set(found.kinds)
+    assert {*rules.RULES, *holds.RULES} <= set(found.rules) and set(rules.KINDS) <= set(found.kinds)
     assert set(rules.INNER) <= set(found.inner)
 
 
@@ -540,8 +540,8 @@
 
 def keep_at_once(transaction, command):
     """The destination keeps the capacity for good before the source has decided."""
-    response = rules.take_hold(transaction, command)
-    rules.make_hold_permanent(transaction, command.key, transaction.get("holds", command.key), "")
+    response = holds.take_hold(transaction, command)
+    holds.make_hold_permanent(transaction, command.key, transaction.get("holds", command.key), "")
     return response
 
 
@@ -567,21 +567,21 @@
 
 def take_half(transaction, command):
     pieces = tuple(msgspec.structs.replace(piece, units=piece.units // 2) for piece in command.pieces)
-    return rules.take_hold(transaction, msgspec.structs.replace(command, pieces=pieces))
+    return holds.take_hold(transaction, msgspec.structs.replace(command, pieces=pieces))
 
 
 def forget_dropped_hold(transaction, command):
     """A dropped hold is forgotten at once, so that a late command can hold the service again."""
-    response = rules.drop_hold(transaction, command)
+    response = holds.drop_hold(transaction, command)
     transaction.drop("holds", command.key)
     return response
 
 
 def drop_while_shifting(transaction, command):
     hold = transaction.get("holds", command.key)
-    response = rules.warm_hold(transaction, command)
+    response = holds.warm_hold(transaction, command)
     if hold.state == "warm" and response["warm"]:
-        rules.release_hold(transaction, command.key, transaction.get("holds", command.key), "")
+        holds.release_hold(transaction, command.key, transaction.get("holds", command.key), "")
     return response
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -12,7 +12,7 @@
 from lemonlead.ledger.faults import Senseless
 from lemonlead.ledger.records import COMMAND, Entry
 from lemonlead.member import assembly
-from lemonlead.moves import rules
+from lemonlead.moves import holds, rules
 from lemonlead.moves.placement import NodeChooser, SiteChooser
 
 LEDGER = assembly.make_ledger()
@@ -105,8 +105,8 @@
 
 def test_a_hold_on_too_many_nodes_is_refused_from_outside_and_applied_from_the_log():
     """Guards against a command that takes a minute to apply: 500 reservations on 10,000 nodes each."""
-    pieces = [rules.ReservationPiece(f"r{n}", 1, rules.MAX_HOLD_NODES // 2, "") for n in (1, 2, 3)]
-    take = rules.HoldTake(id="x", source="far", move="m", epoch=5, floor=0, service="s", pieces=tuple(pieces))
+    pieces = [holds.ReservationPiece(f"r{n}", 1, holds.MAX_HOLD_NODES // 2, "") for n in (1, 2, 3)]
+    take = holds.HoldTake(id="x", source="far", move="m", epoch=5, floor=0, service="s", pieces=tuple(pieces))
     with pytest.raises(Senseless, match="at most 20000"):
         LEDGER.read(msgspec.json.encode(take), outside=True)
     assert LEDGER.read(msgspec.json.encode(take)) == take
--- a/tests/test_simulated_whole.py
+++ b/tests/test_simulated_whole.py
@@ -6,7 +6,7 @@
 from benchmarks import schedules
 from lemonlead.ledger.state import Ledger
 from lemonlead.member import assembly
-from lemonlead.moves import rules
+from lemonlead.moves import holds
 from lemonlead.standins.simulated.gateways import Gateway
 from lemonlead.standins.simulated.nodes import Node
 from lemonlead.standins.simulated.schedules import play, shrink
@@ -86,12 +86,12 @@
     ledger = assembly.make_ledger()
 
     def warm(transaction, command):
-        answer = rules.warm_hold(transaction, command)
+        answer = holds.warm_hold(transaction, command)
         if answer["warm"]:
-            rules.release_hold(transaction, command.key, transaction.get("holds", command.key), "")
+            holds.release_hold(transaction, command.key, transaction.get("holds", command.key), "")
         return answer
 
-    return Ledger({**ledger.rules, rules.HoldWarm: warm}, ledger.kinds, ledger.inner)
+    return Ledger({**ledger.rules, holds.HoldWarm: warm}, ledger.kinds, ledger.inner)
 
 
 @pytest.mark.parametrize(
