--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,7 @@
 # alone, one after the other, because they depend on timing.
 PARALLEL = """
     balance capacity_fleet dispatcher distribution_simulated drains expressions fleet_logs ledger_state
-    list_changes member_told placement
+    list_changes member_told placement reading_time
     moves oncall parsers planning replica rules settings simulated simulated_faults simulated_whole unheard
 """
 PARALLEL = {f"test_{name}.py" for name in PARALLEL.split()}
