Commands have one check of what clients may send, in place of two hooks

A reading of the whole change found creates() and check_new() side by side: both ask a command, in the same place, what of it clients may send. check_new has the names by default; entry and hold_take extend it. Behaviour is as it was; the tests of names, holds, moves and the dispatcher pass.

--- a/lemonlead/ledger/entries.py
+++ b/lemonlead/ledger/entries.py
@@ -38,8 +38,10 @@
     key: Name
     value: dict | None
 
-    def creates(self):
-        return self.value is not None
+    def check_new(self, data):
+        """What is dropped may have any name that older members accepted."""
+        if self.value is not None:
+            super().check_new(data)
 
 
 def record_key(scope, key):
--- a/lemonlead/ledger/state.py
+++ b/lemonlead/ledger/state.py
@@ -37,13 +37,10 @@
 
     id: str = ""
 
-    def creates(self):
-        """Returns whether the command may create something under a name in it."""
-        return True
-
-    def check_new(self):
-        """Raises Senseless if clients may not send the command. One that is in the log is applied all the
-        same, as members of older versions did."""
+    def check_new(self, data):
+        """Raises Senseless if clients may not send the command, which was decoded from `data`. One that is in
+        the log is applied all the same, as members of older versions did."""
+        check_new_names(self, data)
 
     def to_log(self):
         """Returns the command in the form in which a leader proposes it."""
@@ -200,9 +197,7 @@
                 else f"kind {kind!r} is not for clients"
             )
         if outside:
-            command.check_new()
-            if command.creates():
-                check_new_names(command, data)
+            command.check_new(data)
         return command
 
     def apply(self, state, entry):
--- a/lemonlead/moves/holds.py
+++ b/lemonlead/moves/holds.py
@@ -69,7 +69,8 @@
     pieces: Annotated[tuple[ReservationPiece, ...], Meta(min_length=1, max_length=MAX_PIECES)]
     groups: Annotated[tuple[GroupPiece, ...], Meta(max_length=MAX_PIECES)] = ()
 
-    def check_new(self):
+    def check_new(self, data):
+        super().check_new(data)
         if (nodes := sum(piece.nodes for piece in self.pieces)) > MAX_HOLD_NODES:
             raise Senseless(f"pieces on {nodes} nodes together; at most {MAX_HOLD_NODES} in one move")
 
