--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -440,6 +440,13 @@
     assert sum(map(len, day.decided.values())) > 5000 and day.rejects_all() <= 6
 
 
+def test_few_gateways_reject_everything_at_moderate_load_on_further_seeds(tmp_path):
+    """At two thirds of what all can bear, with bursts, 10 to 14 of 60 gateways reject all that they get for
+    4 s on some seeds: what passes as a probe of a throttled class or tenant is then shed like any other."""
+    for seed in (5, 6, 7):
+        assert calm(tmp_path, 2 / 3, seed).rejects_all() <= 6
+
+
 def test_past_what_all_can_bear_too_at_most_one_gateway_in_ten_rejects_all_for_four_seconds(tmp_path):
     """In bursts of a fifth more than all can bear 16 to 21 of 60 gateways reject all that they get. The
     cause: `Balancer.is_throttled_everywhere` holds a tenant's times against the best of classes as well as
