Review: the cases take ports that no outgoing connection gets

Ports now lie below those of outgoing connections, and each member listens at a loopback host of its own.

--- a/review/10/play.py
+++ b/review/10/play.py
@@ -13,7 +13,7 @@
 
 
 def play(case):
-    addresses = {name: {member: rig2.free_address() for member in rig2.MEMBERS} for name in NAMES}
+    addresses = {name: rig2.member_addresses() for name in NAMES}
     clusters = {}
     for name in NAMES:
         others = {other: list(addresses[other].values()) for other in NAMES if other != name}
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -4,9 +4,11 @@
 `Case` is a context manager. It makes a temporary folder, starts programs, writes `record.txt`, and ends all
 processes that it started. Nothing here decides whether a rule was broken; each case does that itself."""
 
+import contextlib
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -37,10 +39,23 @@
 
 
 def free_address(host="127.0.0.1"):
-    """Returns host:port of a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return f"{host}:{sock.getsockname()[1]}"
+    """Returns host:port of a port that is free now. It lies below those that the system gives to outgoing
+    connections, so that none of these takes it before a program listens there, or while one restarts."""
+    try:
+        first = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    except (OSError, ValueError, IndexError):
+        first = 32768
+    for _ in range(1000):
+        port = random.randrange(10_000, first if first > 12_000 else 32_768)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((host, port))
+            return f"{host}:{port}"
+    raise CannotRun("no port is free")
+
+
+def loopback_host():
+    """Returns a loopback address that hardly any other run uses."""
+    return f"127.{random.randrange(1, 255)}.{random.randrange(255)}.{random.randrange(1, 255)}"
 
 
 def deploy(name):
@@ -230,7 +245,7 @@
     def __init__(self, case, name, names, clusters, addresses):
         self.case, self.name, self.names = case, name, tuple(names)
         self.clusters = clusters
-        self.addresses = addresses or {member: free_address() for member in names}
+        self.addresses = addresses or member_addresses(names)
         self.processes = {}
         self.number = 0
         self.lock = threading.Lock()
@@ -300,6 +315,11 @@
         raise CannotRun(f"{part} of {self.name} was not to be read within {seconds:g} s")
 
 
+def member_addresses(names=MEMBERS):
+    """Returns an address for each member, each at a loopback host of its own."""
+    return {member: free_address(loopback_host()) for member in names}
+
+
 def call(address, method, path, body=None, seconds=12.0):
     """One HTTP call. Returns (status, decoded body); status 0 without an answer."""
     host, _, port = address.rpartition(":")
