--- a/review/rig3.py
+++ b/review/rig3.py
@@ -188,6 +188,8 @@
                 self.react(sock, words)
 
     def react(self, sock, words):
+        if self.state != "up":  # it finishes what it has and wants nothing new
+            return sock.sendall(b"-BUSY\r\n")
         time.sleep(self.work)
         self.answer(sock, words)
 
