--- a/review/10/play.py
+++ b/review/10/play.py
@@ -190,8 +190,8 @@
     names = sorted({id.partition(".")[0] for _, id in late})
     limit, last = GRACE_SECONDS + SLACK_SECONDS, late[-1][0]
     return [
-        f"{len(late)} requests went to {drained.name} later than {limit:g} s after its drain was told, the last "
-        f"{last:.2f} s after it, by {', '.join(names)}; {len(failed)} one-shot ones failed"
+        f"{len(late)} requests went to {drained.name} later than {limit:g} s after its drain was told, the "
+        f"last {last:.2f} s after it, by {', '.join(names)}; {len(failed)} one-shot ones failed"
     ]
 
 
