--- a/review/10/play.py
+++ b/review/10/play.py
@@ -17,7 +17,7 @@
 from lemonlead.standins.platform import PlatformServer  # noqa: E402
 from lemonlead.standins.server import Server  # noqa: E402
 
-GATEWAYS, INSTANCES, CALLERS = 4, 8, 6  # "8 to 11 cep boxes and 3 to 5 gateways"; callers of each gateway
+GATEWAYS, INSTANCES, CALLERS = 5, 8, 5  # "8 to 11 cep boxes and 3 to 5 gateways"; callers of each gateway
 DOWN_SECONDS = 8.0  # "discovery is down for 8 s"
 DRAINED_BEFORE_RETURN = 0.5
 DRAIN_SECONDS = 3.0  # from its drain until the instance ends: `drain_s` of rumo-poa
